--- /dev/null
+++ b/agent/app/app.go
@@ -0,0 +1,170 @@
+// Package app puts the parts of an agent together and runs them.
+//
+// # Usage
+//
+//	a, err := app.New(settings, clockwork.NewRealClock(), log)
+//	err = a.Run(ctx) // until ctx ends, then a planned stop
+package app
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/agent/engine"
+	"bilberrylug.dev/agent/plain"
+	"bilberrylug.dev/agent/router"
+	"bilberrylug.dev/agent/upstream"
+	"bilberrylug.dev/core/book"
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/journal"
+	"bilberrylug.dev/core/link"
+	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/core/metric"
+	"bilberrylug.dev/core/platform"
+)
+
+const (
+	journalIdle       = 2 * time.Minute
+	journalRetention  = time.Minute
+	modelPollInterval = 2 * time.Second
+	stopPoll          = 50 * time.Millisecond
+	// stopLimit bounds a planned stop; it covers the longest generations.
+	stopLimit = 30 * time.Minute
+	// leaveNotice is the time in which the news of leaving reaches the routers before the process may stop.
+	leaveNotice = 500 * time.Millisecond
+)
+
+// App is one agent.
+type App struct {
+	cfg       Settings
+	clock     clockwork.Clock
+	log       *event.Log
+	metrics   *metric.Registry
+	group     *group.Group
+	state     *router.State
+	server    *router.Server
+	heartbeat *router.Heartbeat
+	journals  *router.Journals
+	health    *upstream.Health
+	dialer    *link.Dialer
+}
+
+// New puts an agent together.
+func New(cfg Settings, clock clockwork.Clock, log *event.Log) (*App, error) {
+	dialer, err := link.NewDialer(cfg.TLS)
+	if err != nil {
+		return nil, err
+	}
+	a := &App{cfg: cfg, clock: clock, log: log, metrics: metric.New(), group: group.New(context.Background()), dialer: dialer}
+	config := inforce.New(true)
+	a.state = router.NewState(self(cfg, clock), config, clock)
+	calls := platform.NewCalls(cfg.Platform.ReadsPerSecond, cfg.Platform.WritesPerSecond, func(kind string) {
+		a.metrics.Counter("platform_calls", "kind", kind).Inc(1)
+	})
+	store := platform.New(platform.Options{Address: cfg.Platform.Address, Calls: calls})
+	limits := journal.Limits{MaxBytes: cfg.journalBytes(), Idle: journalIdle, RetentionFinished: journalRetention}
+	a.journals = router.NewJournals(limits, clock, a.metrics)
+	a.health = upstream.New(cfg.Upstream+"/healthz", clock, log)
+	o := router.Options{
+		State: a.state, Config: config, Health: a.health, Book: book.New(store, clock, log, a.group), Store: store,
+		Journals: a.journals, Clock: clock, Log: log, Metrics: a.metrics,
+	}
+	if cfg.Kind == "model" {
+		o.Engine = engine.New(cfg.Upstream)
+	} else {
+		o.Plain = plain.New(cfg.Upstream)
+	}
+	a.server = router.New(o)
+	a.heartbeat = router.NewHeartbeat(a.state, config, dialer, cfg.Routers, clock, log)
+	return a, nil
+}
+
+func self(cfg Settings, clock clockwork.Clock) membership.Member {
+	return membership.Member{
+		VM: cfg.ID, Role: membership.Agent, Address: cfg.Listen, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
+		Service: cfg.Service, Incarnation: uint64(clock.Now().UnixNano()), ChecksFence: cfg.ChecksFence,
+	}
+}
+
+// Run serves until the context ends, then refuses new work, finishes what runs and returns.
+func (a *App) Run(ctx context.Context) error {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", a.cfg.Listen)
+	if err != nil {
+		return fault.Wrap(fault.SettingsInvalid, err, "listen %s", a.cfg.Listen)
+	}
+	failed := make(chan error, 1)
+	a.group.Go(func(ctx context.Context) {
+		if err := link.Serve(ctx, listener, a.cfg.TLS, a.server.Register); err != nil {
+			failed <- err
+		}
+	})
+	a.group.Go(a.journals.Run)
+	a.group.Go(a.health.Run)
+	a.group.Go(a.pollModels)
+	a.group.Go(a.heartbeat.Run)
+	a.serveMetrics()
+	a.log.Write(event.Started, "listen", a.cfg.Listen, "service", string(a.cfg.Service))
+	select {
+	case <-ctx.Done():
+		a.stop()
+	case err = <-failed:
+	}
+	a.group.Stop()
+	a.dialer.Close()
+	a.log.Write(event.Stopped)
+	return err
+}
+
+// pollModels keeps the agent's word on loaded models true even when the engine changes by itself.
+func (a *App) pollModels(ctx context.Context) {
+	for {
+		a.server.RefreshModels(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.clock.After(modelPollInterval):
+		}
+	}
+}
+
+// stop is the planned stop.
+func (a *App) stop() {
+	a.log.Write(event.Stopping)
+	a.state.Leave()
+	a.heartbeat.Nudge()
+	began := a.clock.Now()
+	for a.clock.Since(began) < leaveNotice || a.state.Active() > 0 {
+		if a.clock.Since(began) > stopLimit {
+			return
+		}
+		a.clock.Sleep(stopPoll)
+	}
+}
+
+func (a *App) serveMetrics() {
+	if a.cfg.Metrics == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { a.metrics.Write(w) })
+	s := &http.Server{Addr: a.cfg.Metrics, Handler: mux, ReadHeaderTimeout: time.Minute}
+	a.group.Go(func(ctx context.Context) {
+		if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			a.log.Write(event.Stopped, "metrics", fmt.Sprint(err))
+		}
+	})
+	a.group.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		_ = s.Close()
+	})
+}
--- /dev/null
+++ b/agent/queue/limits.go
@@ -0,0 +1,13 @@
+package queue
+
+// Limits of a queue.
+type Limits struct {
+	Slots         int
+	MaxWaiting    int
+	ReservedShort float64
+}
+
+// longSlots is the number of slots that long work may take; at least one.
+func (l Limits) longSlots() int {
+	return max(1, l.Slots-int(float64(l.Slots)*l.ReservedShort+0.5))
+}
--- /dev/null
+++ b/agent/router/journals.go
@@ -0,0 +1,104 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/core/convert"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/journal"
+	"bilberrylug.dev/core/metric"
+	"bilberrylug.dev/core/wire"
+)
+
+// expireInterval is how often journals past their time are dropped.
+const expireInterval = 5 * time.Second
+
+// Journals are the journals that this agent witnesses. It is safe for concurrent use.
+type Journals struct {
+	clock   clockwork.Clock
+	metrics *metric.Registry
+
+	mu    sync.Mutex
+	store *journal.Store
+}
+
+// NewJournals returns an empty set.
+func NewJournals(limits journal.Limits, clock clockwork.Clock, metrics *metric.Registry) *Journals {
+	return &Journals{clock: clock, metrics: metrics, store: journal.NewStore(limits)}
+}
+
+// Run drops old journals until the context ends.
+func (j *Journals) Run(ctx context.Context) {
+	ticker := j.clock.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			j.expire()
+		}
+	}
+}
+
+func (j *Journals) expire() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.store.Expire(j.clock.Now())
+	j.metrics.Gauge("journals").Update(int64(j.store.Len()))
+	j.metrics.Gauge("journal_bytes").Update(int64(j.store.Bytes()))
+}
+
+func (j *Journals) append(entries []*wire.JournalEntry) *wire.JournalReply {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.clock.Now()
+	reply := &wire.JournalReply{Results: make([]*wire.JournalResult, 0, len(entries))}
+	for _, e := range entries {
+		length, refusal := j.store.Append(now, convert.EntryFromWire(e))
+		reply.Results = append(reply.Results, &wire.JournalResult{Refusal: string(refusal), Length: length})
+	}
+	return reply
+}
+
+func (j *Journals) claim(r *wire.ClaimRequest) *wire.ClaimReply {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	found, ok := j.store.Claim(j.clock.Now(), journal.Claim{
+		Key:   ids.RequestKey{Workspace: ids.Workspace(r.GetWorkspace()), Request: ids.Request(r.GetRequestId())},
+		Owner: ids.Owner(r.GetOwner()), MinLength: r.GetMinLength(),
+		Digest: journal.Digest(r.GetDigest()), HasDigest: r.GetHasDigest(),
+	})
+	if !ok {
+		return &wire.ClaimReply{}
+	}
+	return &wire.ClaimReply{
+		Found: true, Attempt: uint32(found.Attempt), Prompt: convert.PromptToWire(found.Prompt),
+		BodyHash: found.BodyHash, Tokens: found.Tokens, FinishReason: found.FinishReason,
+	}
+}
+
+// Append implements the drpc service. A leaving agent refuses, so that its journals move before it stops.
+func (s *Server) Append(_ context.Context, r *wire.JournalRequest) (*wire.JournalReply, error) {
+	if s.State.Leaving() {
+		return refuseAll(r.GetEntries()), nil
+	}
+	return s.Journals.append(r.GetEntries()), nil
+}
+
+func refuseAll(entries []*wire.JournalEntry) *wire.JournalReply {
+	reply := &wire.JournalReply{}
+	for range entries {
+		reply.Results = append(reply.Results, &wire.JournalResult{Refusal: string(journal.Full)})
+	}
+	return reply
+}
+
+// Claim implements the drpc service.
+func (s *Server) Claim(_ context.Context, r *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	return s.Journals.claim(r), nil
+}
--- /dev/null
+++ b/bench/caller/client.go
@@ -0,0 +1,301 @@
+// Package caller is a caller of the routers that checks every answer token by token.
+//
+// # Usage
+//
+//	c := caller.New([]string{"http://127.0.0.1:8080"}, "growers.secret", 0)
+//	r := c.Stream(ctx, caller.Request{Model: "lug-7b", Version: "1", Prompt: "lot 7", MaxTokens: 200, Seed: 1})
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"bilberrylug.dev/standin/tokens"
+)
+
+const (
+	maxLineBytes = 1 << 20
+	retryPause   = 100 * time.Millisecond
+	idleConns    = 256
+)
+
+// Client calls the routers in turn, beginning with one of them. It is safe for concurrent use.
+type Client struct {
+	routers []string
+	key     string
+	first   int
+	http    *http.Client
+}
+
+// New returns a client that begins with the router of the given number.
+func New(routers []string, key string, first int) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns}
+	return &Client{routers: routers, key: key, first: first, http: &http.Client{Transport: transport}}
+}
+
+// Request is a model request with what is needed to check its answer.
+type Request struct {
+	ID        string `json:"-"`
+	Model     string `json:"model"`
+	Version   string `json:"-"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Seed      uint64 `json:"seed"`
+	Stream    bool   `json:"stream"`
+}
+
+// Result is what came of a request.
+type Result struct {
+	Expected   int
+	Received   int
+	Wrong      int
+	Reconnects int
+	Status     int
+	Code       string
+	Began      time.Time
+	FirstToken time.Duration
+	Total      time.Duration
+	Gaps       []time.Duration
+	Err        error
+}
+
+// Whole tells whether the answer came complete and right.
+func (r Result) Whole() bool { return r.Err == nil && r.Wrong == 0 && r.Received == r.Expected }
+
+// MaxGap returns the longest time between two tokens.
+func (r Result) MaxGap() time.Duration {
+	var longest time.Duration
+	for _, g := range r.Gaps {
+		longest = max(longest, g)
+	}
+	return longest
+}
+
+// Refusal is an answer of the router that is no success.
+type Refusal struct {
+	Status int
+	Code   string
+	Claim  string
+}
+
+// Error names the code.
+func (r *Refusal) Error() string { return fmt.Sprintf("status %d, code %s", r.Status, r.Code) }
+
+type stream struct {
+	req    Request
+	result Result
+	lastID string
+	last   time.Time
+	ended  bool
+}
+
+// Stream reads a streamed answer. When its connection is lost it comes back through the next router with the last event
+// id, until the context ends.
+func (c *Client) Stream(ctx context.Context, req Request) Result {
+	req.Stream = true
+	s := &stream{req: req, result: Result{Expected: tokens.Length(req.Prompt, req.MaxTokens), Began: time.Now()}}
+	for try := c.first; ; try++ {
+		err := c.read(ctx, c.routers[try%len(c.routers)], s)
+		if err == nil || ctx.Err() != nil {
+			s.result.Err = err
+			break
+		}
+		if refusal, ok := err.(*Refusal); ok && (s.lastID == "" || s.result.Reconnects > 50) {
+			s.result.Err, s.result.Status, s.result.Code = err, refusal.Status, refusal.Code
+			break
+		}
+		s.result.Reconnects++
+		time.Sleep(retryPause)
+	}
+	s.result.Total = time.Since(s.result.Began)
+	return s.result
+}
+
+func (c *Client) read(ctx context.Context, router string, s *stream) error {
+	body, err := json.Marshal(s.req)
+	if err != nil {
+		return fmt.Errorf("encode request: %w", err)
+	}
+	headers := map[string]string{"X-Request-Id": s.req.ID, "Last-Event-ID": s.lastID}
+	resp, err := c.do(ctx, http.MethodPost, router+"/v1/completions", body, headers)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return refusalOf(resp)
+	}
+	return s.readEvents(resp.Body)
+}
+
+func (c *Client) do(ctx context.Context, method, url string, body []byte, headers map[string]string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.key)
+	r.Header.Set("Content-Type", "application/json")
+	for name, value := range headers {
+		if value != "" {
+			r.Header.Set(name, value)
+		}
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, fmt.Errorf("call: %w", err)
+	}
+	return resp, nil
+}
+
+type errorBody struct {
+	Error struct {
+		Code  string `json:"code"`
+		Claim string `json:"claim"`
+	} `json:"error"`
+}
+
+func refusalOf(resp *http.Response) error {
+	var e errorBody
+	body, _ := io.ReadAll(resp.Body)
+	_ = json.Unmarshal(body, &e)
+	return &Refusal{resp.StatusCode, e.Error.Code, e.Error.Claim}
+}
+
+func (s *stream) readEvents(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
+	failed := false
+	for lines.Scan() {
+		line := lines.Text()
+		if id, found := strings.CutPrefix(line, "id: "); found {
+			s.lastID = id
+		}
+		if line == "event: error" {
+			failed = true
+		}
+		payload, found := strings.CutPrefix(line, "data: ")
+		if !found {
+			continue
+		}
+		if failed {
+			var e errorBody
+			_ = json.Unmarshal([]byte(payload), &e)
+			return &Refusal{http.StatusOK, e.Error.Code, e.Error.Claim}
+		}
+		if payload == "[DONE]" {
+			return nil
+		}
+		s.take([]byte(payload))
+	}
+	return fmt.Errorf("the stream ended early: %w", io.ErrUnexpectedEOF)
+}
+
+type chunk struct {
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// take checks one token against the stand-in engine's.
+func (s *stream) take(payload []byte) {
+	var c chunk
+	if json.Unmarshal(payload, &c) != nil || len(c.Choices) != 1 || c.Choices[0].FinishReason != nil {
+		return
+	}
+	now := time.Now()
+	if s.result.Received == 0 {
+		s.result.FirstToken = now.Sub(s.result.Began)
+	} else {
+		s.result.Gaps = append(s.result.Gaps, now.Sub(s.last))
+	}
+	s.last = now
+	if c.Choices[0].Text != tokens.At(s.req.Prompt, s.req.Version, s.req.Seed, s.result.Received) {
+		s.result.Wrong++
+	}
+	s.result.Received++
+}
+
+// Whole asks for an answer in one piece and checks it.
+func (c *Client) Whole(ctx context.Context, req Request) Result {
+	result := Result{Expected: tokens.Length(req.Prompt, req.MaxTokens), Began: time.Now()}
+	body, err := json.Marshal(req)
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	for try := c.first; ; try++ {
+		resp, err := c.do(ctx, http.MethodPost, c.routers[try%len(c.routers)]+"/v1/completions", body, map[string]string{"X-Request-Id": req.ID})
+		if err != nil && ctx.Err() == nil && req.ID != "" {
+			result.Reconnects++
+			time.Sleep(retryPause)
+			continue
+		}
+		result.Err = err
+		if err == nil {
+			checkWhole(resp, req, &result)
+			_ = resp.Body.Close()
+		}
+		result.Total = time.Since(result.Began)
+		return result
+	}
+}
+
+func checkWhole(resp *http.Response, req Request, result *Result) {
+	result.Status = resp.StatusCode
+	if resp.StatusCode != http.StatusOK {
+		result.Err = refusalOf(resp)
+		if r, ok := result.Err.(*Refusal); ok {
+			result.Code = r.Code
+		}
+		return
+	}
+	var c chunk
+	if result.Err = json.NewDecoder(resp.Body).Decode(&c); result.Err != nil {
+		return
+	}
+	if len(c.Choices) == 1 && c.Choices[0].Text == tokens.Answer(req.Prompt, req.Version, req.Seed, req.MaxTokens) {
+		result.Received = result.Expected
+		return
+	}
+	result.Wrong++
+}
+
+// Reply is what came of a plain call.
+type Reply struct {
+	Status   int
+	Code     string
+	Claim    string
+	Recorded bool
+	Body     string
+	Took     time.Duration
+	Err      error
+}
+
+// Call makes one plain call on one router.
+func (c *Client) Call(ctx context.Context, method, path, body, key string) Reply {
+	began := time.Now()
+	resp, err := c.do(ctx, method, c.routers[c.first%len(c.routers)]+path, []byte(body), map[string]string{"Idempotency-Key": key})
+	if err != nil {
+		return Reply{Err: err, Took: time.Since(began)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := Reply{Status: resp.StatusCode, Recorded: resp.Header.Get("X-Bilberrylug-Recorded") == "true"}
+	if resp.StatusCode >= http.StatusBadRequest {
+		if r, ok := refusalOf(resp).(*Refusal); ok {
+			out.Code, out.Claim = r.Code, r.Claim
+		}
+	} else {
+		text, _ := io.ReadAll(resp.Body)
+		out.Body = string(text)
+	}
+	out.Took = time.Since(began)
+	return out
+}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,21 @@
+// Command bilberrylug-bench drives load through the routers and checks every answer.
+//
+// # Usage
+//
+//	bilberrylug-bench answers --router http://127.0.0.1:8080 --key growers.secret --count 8 --tokens 300
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"bilberrylug.dev/bench/command"
+)
+
+func main() {
+	if err := command.New(os.Stdout).Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/core/choice/request.go
@@ -0,0 +1,11 @@
+package choice
+
+import "bilberrylug.dev/core/ids"
+
+// Request is one piece of work to be placed.
+type Request struct {
+	Candidates []ids.VM
+	Tokens     uint64
+	Affinity   string
+	Avoid      []ids.VM
+}
--- /dev/null
+++ b/core/declared/head.go
@@ -0,0 +1,46 @@
+package declared
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+// maxHistory bounds the history that a head carries.
+const maxHistory = 20
+
+// Head is the single value whose compare-and-swap accepts a configuration.
+type Head struct {
+	Summary
+	ServicesChunk string `json:"services_chunk"`
+	// ServicesRevision is the revision in which the services chunk last changed.
+	ServicesRevision ids.Revision `json:"services_revision"`
+	WorkspaceChunks  []string     `json:"workspace_chunks"`
+	History          []Summary    `json:"history"`
+}
+
+// Summary describes one accepted revision.
+type Summary struct {
+	Revision   ids.Revision `json:"revision"`
+	ApplyID    string       `json:"apply_id"`
+	Operator   string       `json:"operator"`
+	Time       time.Time    `json:"time"`
+	Services   int          `json:"services"`
+	Workspaces int          `json:"workspaces"`
+}
+
+// Next returns the head that follows h, with h added to the history.
+func (h *Head) Next(s Summary, set ChunkSet) *Head {
+	s.Revision = h.Revision + 1
+	out := &Head{Summary: s, ServicesChunk: set.ServicesChunk, WorkspaceChunks: set.WorkspaceChunks}
+	out.ServicesRevision = h.ServicesRevision
+	if h.ServicesChunk != set.ServicesChunk {
+		out.ServicesRevision = out.Revision
+	}
+	if h.Revision > 0 {
+		out.History = append(out.History, h.Summary)
+	}
+	out.History = append(out.History, h.History...)
+	out.History = out.History[:min(len(out.History), maxHistory)]
+	return out
+}
--- /dev/null
+++ b/core/declared/service.go
@@ -0,0 +1,39 @@
+package declared
+
+import "bilberrylug.dev/core/ids"
+
+// Kind tells model services from plain ones.
+type Kind string
+
+// The kinds of service.
+const (
+	ModelService Kind = "model"
+	PlainService Kind = "plain"
+)
+
+// Fencing says whether a service's upstreams refuse orders with an old fencing number themselves.
+type Fencing string
+
+// The ways of fencing. With FencingIgnored the agent beside the upstream refuses in its place.
+const (
+	FencingChecked Fencing = "checked"
+	FencingIgnored Fencing = "ignored"
+)
+
+// Service is one declared service.
+type Service struct {
+	Name                ids.Service `yaml:"name" json:"name"`
+	Kind                Kind        `yaml:"kind" json:"kind"`
+	Models              []Model     `yaml:"models" json:"models,omitempty"`
+	Routes              []Route     `yaml:"routes" json:"routes,omitempty"`
+	Fencing             Fencing     `yaml:"fencing" json:"fencing,omitempty"`
+	SlotsPerUpstream    int         `yaml:"slots_per_upstream" json:"slots_per_upstream,omitempty"`
+	QueuePerUpstream    int         `yaml:"queue_per_upstream" json:"queue_per_upstream,omitempty"`
+	ShortMaxTokens      uint32      `yaml:"short_max_tokens" json:"short_max_tokens,omitempty"`
+	ReservedShortShare  float64     `yaml:"reserved_short_share" json:"reserved_short_share,omitempty"`
+	MaxQueueTime        Duration    `yaml:"max_queue_time" json:"max_queue_time,omitempty"`
+	CallTimeout         Duration    `yaml:"call_timeout" json:"call_timeout,omitempty"`
+	LedgerBuckets       int         `yaml:"ledger_buckets" json:"ledger_buckets,omitempty"`
+	LedgerRetention     Duration    `yaml:"ledger_retention" json:"ledger_retention,omitempty"`
+	LedgerBucketEntries int         `yaml:"ledger_bucket_entries" json:"ledger_bucket_entries,omitempty"`
+}
--- /dev/null
+++ b/core/declared/workspace.go
@@ -0,0 +1,12 @@
+package declared
+
+import "bilberrylug.dev/core/ids"
+
+// Workspace is one tenant: who it is and what it may use.
+type Workspace struct {
+	Name              ids.Workspace `yaml:"name" json:"name"`
+	KeyHash           string        `yaml:"key_hash" json:"key_hash"`
+	Services          []ids.Service `yaml:"services" json:"services"`
+	RequestsPerSecond float64       `yaml:"requests_per_second" json:"requests_per_second"`
+	MaxRunning        int           `yaml:"max_running" json:"max_running"`
+}
--- /dev/null
+++ b/core/event/log.go
@@ -0,0 +1,29 @@
+// Package event writes the numbered log events of all processes.
+//
+// # Usage
+//
+//	log := event.New(os.Stderr, slog.LevelInfo, "entry-1")
+//	log.Write(event.AttemptLost, "upstream", vm, "attempt", n)
+package event
+
+import (
+	"context"
+	"io"
+	"log/slog"
+)
+
+// Log writes events as JSON lines.
+type Log struct {
+	slog *slog.Logger
+}
+
+// New returns a log of the VM's process; lines below the level are left out.
+func New(w io.Writer, level slog.Level, vm string) *Log {
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
+	return &Log{slog.New(handler).With("vm", vm)}
+}
+
+// Write writes one event with its attributes as key and value pairs.
+func (l *Log) Write(k Kind, args ...any) {
+	l.slog.With("event", k.Number).Log(context.Background(), k.Level, k.Title, args...)
+}
--- /dev/null
+++ b/core/generation/event.go
@@ -0,0 +1,76 @@
+package generation
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/journal"
+)
+
+// Event is an input of the machine.
+type Event interface{ isEvent() }
+
+// TokensArrived reports tokens of an attempt, the first of them at index First.
+type TokensArrived struct {
+	Attempt ids.Attempt
+	First   uint32
+	Tokens  []string
+}
+
+// AttemptAlive reports that an attempt's agent still sees its upstream work.
+type AttemptAlive struct{ Attempt ids.Attempt }
+
+// AttemptFinished reports the end of an attempt at Total tokens.
+type AttemptFinished struct {
+	Attempt ids.Attempt
+	Total   uint32
+	Reason  string
+}
+
+// AttemptFailed reports that an attempt ended without its answer.
+type AttemptFailed struct {
+	Attempt ids.Attempt
+	Code    fault.Code
+	Detail  string
+}
+
+// WitnessAnswered reports a witness's answer to an append.
+type WitnessAnswered struct {
+	Witness ids.VM
+	Length  uint32
+	Final   bool
+	Refusal journal.Refusal
+}
+
+// WitnessLost reports that a witness did not answer.
+type WitnessLost struct{ Witness ids.VM }
+
+// CallerLeft reports that the caller's connection ended.
+type CallerLeft struct{}
+
+// CallerReturned reports that a caller attached again.
+type CallerReturned struct{}
+
+// Tick reports the passing of time.
+type Tick struct{}
+
+func (TokensArrived) isEvent()   {}
+func (AttemptAlive) isEvent()    {}
+func (AttemptFinished) isEvent() {}
+func (AttemptFailed) isEvent()   {}
+func (WitnessAnswered) isEvent() {}
+func (WitnessLost) isEvent()     {}
+func (CallerLeft) isEvent()      {}
+func (CallerReturned) isEvent()  {}
+func (Tick) isEvent()            {}
+
+// Timeouts bound the waits of a machine.
+type Timeouts struct {
+	Silence     time.Duration
+	TokenGap    time.Duration
+	GapFactor   int
+	MinTokenGap time.Duration
+	CallerGrace time.Duration
+	NoProgress  time.Duration
+}
--- /dev/null
+++ b/core/generation/machine.go
@@ -0,0 +1,284 @@
+// Package generation decides how one answer is generated, witnessed, resumed and revealed.
+//
+// The machine is pure: it takes an event and the time, and returns commands. A token is accepted only from the current
+// attempt and only at the next index; it is revealed only when the witness holds it. A lost attempt is followed by a
+// new one from the exact prefix; a lost witness by the next one, which gets the whole journal first.
+//
+// # Usage
+//
+//	m := generation.New(opts)
+//	for _, c := range m.Start(now) { carryOut(c) }
+//	for _, c := range m.Handle(now, event) { carryOut(c) }
+package generation
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/journal"
+)
+
+// Options configure a machine. A journal with tokens or an attempt above zero is continued.
+type Options struct {
+	Journal   journal.Journal
+	Owner     ids.Owner
+	Witnesses []ids.VM
+	Timeouts  Timeouts
+	Resumes   int
+}
+
+// Machine is the state of one answer. It is not safe for concurrent use.
+type Machine struct {
+	opts     Options
+	key      ids.RequestKey
+	prompt   journal.Prompt
+	bodyHash uint64
+
+	attempt    ids.Attempt
+	running    bool
+	started    bool
+	mayHaveRun bool
+	tokens     []string
+	lastWord   time.Time
+	lastToken  time.Time
+	progress   time.Time
+	retryAt    time.Time
+	cadence    time.Duration
+
+	witness       int
+	witnessOpened bool
+	inFlight      bool
+	witnessed     uint32
+	revealed      uint32
+
+	finishReason string
+	finalSent    bool
+	done         bool
+	resumesLeft  int
+	callerGone   bool
+	callerLeftAt time.Time
+
+	// Resumed counts the attempts after the first, Late the words of older attempts that were dropped.
+	Resumed int
+	Late    int
+}
+
+// retryPause is the time between two tries to place an attempt.
+const retryPause = 50 * time.Millisecond
+
+// New returns a machine for the journal.
+func New(o Options) *Machine {
+	return &Machine{
+		opts: o, key: o.Journal.Key, prompt: o.Journal.Prompt, bodyHash: o.Journal.BodyHash,
+		attempt: o.Journal.Attempt, tokens: o.Journal.Tokens, finishReason: o.Journal.FinishReason,
+		resumesLeft: o.Resumes,
+	}
+}
+
+// Tokens returns all accepted tokens, revealed or not.
+func (m *Machine) Tokens() []string { return m.tokens }
+
+// Revealed returns the number of tokens that the caller may see.
+func (m *Machine) Revealed() uint32 { return m.revealed }
+
+// Attempt returns the current attempt.
+func (m *Machine) Attempt() ids.Attempt { return m.attempt }
+
+// Done tells whether the machine has ended.
+func (m *Machine) Done() bool { return m.done }
+
+// Witness returns the current witness, or the empty id when none is left.
+func (m *Machine) Witness() ids.VM {
+	if m.witness >= len(m.opts.Witnesses) {
+		return ""
+	}
+	return m.opts.Witnesses[m.witness]
+}
+
+// Start returns the first commands: the journal goes to the witness. The attempt begins when the witness has it, so
+// that an answer refused for want of a witness truly did not run.
+func (m *Machine) Start(now time.Time) []Command {
+	m.progress = now
+	m.started = m.finishReason != ""
+	m.mayHaveRun = m.attempt > 0
+	if m.attempt == 0 {
+		m.attempt = 1
+	}
+	return m.appendNext(nil)
+}
+
+// Handle takes one event.
+func (m *Machine) Handle(now time.Time, e Event) []Command {
+	if m.done {
+		return nil
+	}
+	switch e := e.(type) {
+	case TokensArrived:
+		return m.tokensArrived(now, e)
+	case AttemptAlive:
+		m.alive(now, e.Attempt)
+	case AttemptFinished:
+		return m.attemptFinished(now, e)
+	case AttemptFailed:
+		return m.attemptFailed(now, e)
+	case WitnessAnswered:
+		return m.witnessAnswered(now, e)
+	case WitnessLost:
+		return m.witnessLost(now, e)
+	case CallerLeft:
+		m.callerGone = true
+		m.callerLeftAt = now
+	case CallerReturned:
+		m.callerGone = false
+	case Tick:
+		return m.tick(now)
+	}
+	return nil
+}
+
+func (m *Machine) begin(now time.Time, cmds []Command, afterLoss bool) []Command {
+	m.running = true
+	m.lastWord = now
+	m.lastToken = time.Time{}
+	return append(cmds, StartAttempt{m.attempt, uint32(len(m.tokens)), afterLoss})
+}
+
+func (m *Machine) alive(now time.Time, a ids.Attempt) {
+	if a == m.attempt {
+		m.lastWord = now
+		m.mayHaveRun = true
+	}
+}
+
+// tokensArrived accepts the tokens that come next. A repeated token is passed over; a gap means that the stream lost
+// something, and the attempt is replaced.
+func (m *Machine) tokensArrived(now time.Time, e TokensArrived) []Command {
+	if e.Attempt != m.attempt || !m.running {
+		m.Late++
+		return nil
+	}
+	length := uint32(len(m.tokens))
+	if e.First > length {
+		return m.lose(now, fault.UpstreamLost, "gap in the token stream")
+	}
+	skip := min(length-e.First, uint32(len(e.Tokens)))
+	fresh := e.Tokens[skip:]
+	if len(fresh) == 0 {
+		return nil
+	}
+	m.mayHaveRun = true
+	m.noteCadence(now, len(fresh))
+	m.tokens = append(m.tokens, fresh...)
+	m.progress = now
+	return m.appendNext(nil)
+}
+
+// cadenceWeight is the share of a new sample in the running mean of the time between tokens, as a divisor.
+const cadenceWeight = 8
+
+func (m *Machine) noteCadence(now time.Time, n int) {
+	m.lastWord = now
+	if !m.lastToken.IsZero() {
+		sample := now.Sub(m.lastToken) / time.Duration(n)
+		m.cadence += (sample - m.cadence) / cadenceWeight
+	}
+	m.lastToken = now
+}
+
+func (m *Machine) attemptFinished(now time.Time, e AttemptFinished) []Command {
+	if e.Attempt != m.attempt || !m.running {
+		m.Late++
+		return nil
+	}
+	if e.Total != uint32(len(m.tokens)) {
+		return m.lose(now, fault.UpstreamLost, "end does not match the tokens")
+	}
+	m.running = false
+	m.progress = now
+	m.finishReason = e.Reason
+	return m.appendNext(nil)
+}
+
+func (m *Machine) attemptFailed(now time.Time, e AttemptFailed) []Command {
+	if e.Attempt != m.attempt || !m.running {
+		m.Late++
+		return nil
+	}
+	kind := fault.KindOf(e.Code)
+	if !kind.Retryable && e.Code != fault.NoUpstream {
+		return m.end(e.Code, e.Detail, nil)
+	}
+	if kind.Claim == fault.NotRun {
+		return m.retryPlacement(now, e)
+	}
+	return m.lose(now, e.Code, e.Detail)
+}
+
+// retryPlacement tries again after a pause, since nothing ran. An answer that never ran is refused at once; one that is
+// under way waits for the limit of no progress.
+func (m *Machine) retryPlacement(now time.Time, e AttemptFailed) []Command {
+	if !m.mayHaveRun {
+		return m.end(e.Code, e.Detail, nil)
+	}
+	if now.Sub(m.progress) > m.opts.Timeouts.NoProgress {
+		return m.end(fault.ResumeExhausted, e.Detail, nil)
+	}
+	m.running = false
+	m.retryAt = now.Add(retryPause)
+	return nil
+}
+
+// lose replaces the current attempt.
+func (m *Machine) lose(now time.Time, code fault.Code, detail string) []Command {
+	cmds := []Command{CancelAttempt{m.attempt}}
+	m.running = false
+	m.mayHaveRun = true
+	if m.resumesLeft == 0 {
+		return m.end(fault.ResumeExhausted, string(code)+": "+detail, cmds)
+	}
+	m.resumesLeft--
+	m.Resumed++
+	m.attempt++
+	return m.begin(now, cmds, true)
+}
+
+func (m *Machine) end(code fault.Code, detail string, cmds []Command) []Command {
+	m.done = true
+	if m.mayHaveRun && fault.KindOf(code).Claim == fault.NotRun {
+		detail = string(code) + ": " + detail
+		code = fault.ResumeExhausted
+	}
+	if m.running {
+		cmds = append(cmds, CancelAttempt{m.attempt})
+	}
+	m.running = false
+	return append(cmds, Fail{code, detail})
+}
+
+func (m *Machine) tick(now time.Time) []Command {
+	if m.callerGone && now.Sub(m.callerLeftAt) >= m.opts.Timeouts.CallerGrace {
+		return m.end(fault.Superseded, "the caller left", nil)
+	}
+	if !m.running && m.finishReason == "" && !m.retryAt.IsZero() && !now.Before(m.retryAt) {
+		m.retryAt = time.Time{}
+		m.attempt++
+		return m.begin(now, nil, true)
+	}
+	if !m.running {
+		return nil
+	}
+	if now.Sub(m.lastWord) > m.opts.Timeouts.Silence {
+		return m.lose(now, fault.UpstreamLost, "no word from the agent")
+	}
+	if !m.lastToken.IsZero() && now.Sub(m.lastToken) > m.tokenGap() {
+		return m.lose(now, fault.UpstreamLost, "no token within the engine's own cadence")
+	}
+	return nil
+}
+
+// tokenGap is the longest time between two tokens that counts as slow and not as dead.
+func (m *Machine) tokenGap() time.Duration {
+	gap := m.cadence * time.Duration(m.opts.Timeouts.GapFactor)
+	return min(max(gap, m.opts.Timeouts.MinTokenGap), m.opts.Timeouts.TokenGap)
+}
--- /dev/null
+++ b/core/generation/witness.go
@@ -0,0 +1,92 @@
+package generation
+
+import (
+	"slices"
+	"time"
+
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/journal"
+)
+
+// appendNext sends what the witness lacks, one entry at a time, so that tokens that arrive meanwhile go in one batch.
+func (m *Machine) appendNext(cmds []Command) []Command {
+	if m.inFlight || m.done {
+		return cmds
+	}
+	if m.Witness() == "" {
+		return m.end(fault.NoWitness, "no witness is left", cmds)
+	}
+	length := uint32(len(m.tokens))
+	final := m.finishReason != "" && !m.finalSent
+	if m.witnessOpened && m.witnessed == length && !final {
+		return cmds
+	}
+	e := journal.Entry{Key: m.key, Attempt: m.attempt, Owner: m.opts.Owner}
+	if m.witnessOpened {
+		e.First = m.witnessed
+		e.Tokens = slices.Clone(m.tokens[m.witnessed:])
+	} else {
+		e.Open = &journal.Open{Prompt: m.prompt, BodyHash: m.bodyHash, Tokens: slices.Clone(m.tokens)}
+		e.First = length
+	}
+	e.FinishReason = m.finishReason
+	m.finalSent = e.FinishReason != ""
+	m.inFlight = true
+	return append(cmds, Append{m.Witness(), e})
+}
+
+func (m *Machine) witnessAnswered(now time.Time, e WitnessAnswered) []Command {
+	if e.Witness != m.Witness() || !m.inFlight {
+		return nil
+	}
+	m.inFlight = false
+	switch e.Refusal {
+	case journal.Accepted:
+		return m.witnessAccepted(now, e)
+	case journal.Superseded:
+		return m.end(fault.Superseded, "claimed by another router", nil)
+	case journal.Unknown, journal.Gap:
+		m.witnessOpened = false
+		m.finalSent = false
+		return m.appendNext(nil)
+	case journal.Full, journal.Diverged:
+		return m.nextWitness()
+	}
+	return m.nextWitness()
+}
+
+func (m *Machine) witnessAccepted(now time.Time, e WitnessAnswered) []Command {
+	m.witnessOpened = true
+	m.witnessed = max(m.witnessed, min(e.Length, uint32(len(m.tokens))))
+	var cmds []Command
+	if m.witnessed > m.revealed {
+		m.revealed = m.witnessed
+		cmds = append(cmds, Reveal{m.revealed})
+	}
+	if e.Final {
+		m.done = true
+		return append(cmds, Complete{m.finishReason})
+	}
+	if !m.started {
+		m.started = true
+		cmds = m.begin(now, cmds, false)
+	}
+	return m.appendNext(cmds)
+}
+
+func (m *Machine) witnessLost(_ time.Time, e WitnessLost) []Command {
+	if e.Witness != m.Witness() {
+		return nil
+	}
+	m.inFlight = false
+	return m.nextWitness()
+}
+
+// nextWitness moves the whole journal to the next candidate. What the caller has seen stays seen.
+func (m *Machine) nextWitness() []Command {
+	m.witness++
+	m.witnessOpened = false
+	m.finalSent = false
+	m.witnessed = 0
+	return m.appendNext(nil)
+}
--- /dev/null
+++ b/core/ledger/entry.go
@@ -0,0 +1,25 @@
+package ledger
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+// Entry is the record of one idempotency key.
+type Entry struct {
+	State     State      `json:"state"`
+	Call      ids.Call   `json:"call"`
+	BodyHash  uint64     `json:"body_hash"`
+	At        time.Time  `json:"at"`
+	Reply     *Reply     `json:"reply,omitempty"`
+	Cancelled []ids.Call `json:"cancelled,omitempty"`
+}
+
+// Reply is the recorded reply of a call. A body over [MaxBodyBytes] is not kept, which Truncated tells.
+type Reply struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"content_type"`
+	Body        []byte `json:"body,omitempty"`
+	Truncated   bool   `json:"truncated,omitempty"`
+}
--- /dev/null
+++ b/core/membership/member.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"slices"
+
+	"bilberrylug.dev/core/ids"
+)
+
+// Role tells routers from agents.
+type Role string
+
+// The roles.
+const (
+	Router Role = "router"
+	Agent  Role = "agent"
+)
+
+// State is how a member stands; a later state of the same incarnation replaces an earlier one.
+type State uint32
+
+// The states, in the order in which they replace each other.
+const (
+	Live State = iota
+	Suspect
+	Leaving
+	Gone
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Live:
+		return "live"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Gone:
+		return "gone"
+	}
+	return "unknown"
+}
+
+// Member is one VM. The incarnation grows with each start of its process and each time it refutes a suspicion.
+type Member struct {
+	VM            ids.VM
+	Role          Role
+	Address       string
+	Region        ids.Region
+	FailureDomain ids.FailureDomain
+	Service       ids.Service
+	Incarnation   uint64
+	State         State
+	Models        []ids.Model
+	ChecksFence   bool
+}
+
+// replaces tells whether the news of m goes before the known member.
+func (m Member) replaces(known Member) bool {
+	if m.Incarnation != known.Incarnation {
+		return m.Incarnation > known.Incarnation
+	}
+	return m.State > known.State
+}
+
+// Holds tells whether the member has reported the model.
+func (m Member) Holds(model ids.Model) bool { return slices.Contains(m.Models, model) }
--- /dev/null
+++ b/core/platform/calls.go
@@ -0,0 +1,43 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bilberrylug.dev/core/fault"
+)
+
+// Calls counts and limits the calls of one process on the platform's service.
+type Calls struct {
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	count  func(kind string)
+}
+
+// NewCalls returns limits in calls a second; count is told of each call by its kind, and may be nil.
+func NewCalls(readsPerSecond, writesPerSecond float64, count func(kind string)) *Calls {
+	if count == nil {
+		count = func(string) {}
+	}
+	return &Calls{
+		reads:  rate.NewLimiter(rate.Limit(readsPerSecond), max(1, int(readsPerSecond))),
+		writes: rate.NewLimiter(rate.Limit(writesPerSecond), max(1, int(writesPerSecond))),
+		count:  count,
+	}
+}
+
+// maxLimiterWait bounds how long a call waits for its share.
+const maxLimiterWait = 2 * time.Second
+
+func (c *Calls) wait(ctx context.Context, kind string, l *rate.Limiter) error {
+	ctx, cancel := context.WithTimeout(ctx, maxLimiterWait)
+	defer cancel()
+	if err := l.Wait(ctx); err != nil {
+		return fmt.Errorf("%w", fault.Wrap(fault.StoreUnavailable, err, "own limit of %s calls", kind))
+	}
+	c.count(kind)
+	return nil
+}
--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,23 @@
+// Command bilberrylug is the operators' command line.
+//
+// # Usage
+//
+//	bilberrylug validate config/
+//	bilberrylug apply --wait config/
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"bilberrylug.dev/ctl/command"
+)
+
+func main() {
+	err := command.New(os.Stdout).Run(context.Background(), os.Args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(command.ExitCode(err))
+}
--- /dev/null
+++ b/router/app/status.go
@@ -0,0 +1,65 @@
+package app
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/membership"
+)
+
+// Status is what a router tells operators.
+type Status struct {
+	VM       ids.VM         `json:"vm"`
+	Revision ids.Revision   `json:"revision"`
+	Answers  int            `json:"answers"`
+	Members  []MemberStatus `json:"members"`
+}
+
+// MemberStatus is one VM as the router sees it. Heard tells whether it reports to this router, and then Revision is
+// what it has in force.
+type MemberStatus struct {
+	VM            ids.VM            `json:"vm"`
+	Role          membership.Role   `json:"role"`
+	State         string            `json:"state"`
+	Service       ids.Service       `json:"service,omitempty"`
+	FailureDomain ids.FailureDomain `json:"failure_domain"`
+	Operators     string            `json:"operators,omitempty"`
+	Models        []string          `json:"models,omitempty"`
+	Heard         bool              `json:"heard"`
+	Revision      ids.Revision      `json:"revision,omitempty"`
+}
+
+func (a *App) status() Status {
+	out := Status{VM: a.cfg.ID, Revision: a.config.Revision(), Answers: a.answers.Len()}
+	heard := make(map[ids.VM]membership.Heard)
+	for _, h := range a.view.Heards() {
+		heard[h.VM] = h
+	}
+	for _, m := range a.view.Members() {
+		row := MemberStatus{VM: m.VM, Role: m.Role, State: m.State.String(), Service: m.Service, FailureDomain: m.FailureDomain}
+		for _, model := range m.Models {
+			row.Models = append(row.Models, model.String())
+		}
+		if h, ok := heard[m.VM]; ok {
+			row.Heard = true
+			row.Revision = h.Revision
+		}
+		if m.VM == a.cfg.ID {
+			row.Heard = true
+			row.Revision = out.Revision
+		}
+		out.Members = append(out.Members, row)
+	}
+	return out
+}
+
+func (a *App) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(a.status())
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { a.metrics.Write(w) })
+	return mux
+}
--- /dev/null
+++ b/router/caller/event_id.go
@@ -0,0 +1,45 @@
+package caller
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/journal"
+)
+
+// eventIDFields is the number of fields of an event id.
+const eventIDFields = 4
+
+// EventID names a place in an answer: the request, the number of tokens up to the place, their digest, and the witness
+// that held them when they were shown.
+type EventID struct {
+	Length  uint32
+	Digest  journal.Digest
+	Witness ids.VM
+	Request ids.Request
+}
+
+// String returns the id as it stands in the stream.
+func (id EventID) String() string {
+	return fmt.Sprintf("%d.%016x.%s.%s", id.Length, uint64(id.Digest), id.Witness, id.Request)
+}
+
+// ParseEventID reads an id, or returns a fault of kind bad_request.
+func ParseEventID(s string) (EventID, error) {
+	fields := strings.SplitN(s, ".", eventIDFields)
+	if len(fields) != eventIDFields || fields[3] == "" {
+		return EventID{}, fault.New(fault.BadRequest, "Last-Event-ID %q", s)
+	}
+	length, err := strconv.ParseUint(fields[0], 10, 32)
+	if err != nil {
+		return EventID{}, fault.Wrap(fault.BadRequest, err, "Last-Event-ID %q", s)
+	}
+	digest, err := strconv.ParseUint(fields[1], 16, 64)
+	if err != nil {
+		return EventID{}, fault.Wrap(fault.BadRequest, err, "Last-Event-ID %q", s)
+	}
+	return EventID{uint32(length), journal.Digest(digest), ids.VM(fields[2]), ids.Request(fields[3])}, nil
+}
--- /dev/null
+++ b/router/peer/server.go
@@ -0,0 +1,136 @@
+// Package peer is the router's protocol with other routers, and with agents that report to it.
+//
+// # Usage
+//
+//	s := peer.NewServer(peer.Options{...})
+//	err := link.Serve(ctx, listener, tls, s.Register)
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"storj.io/drpc/drpcmux"
+
+	"bilberrylug.dev/core/convert"
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/link"
+	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/core/wire"
+	"bilberrylug.dev/router/view"
+)
+
+// Options are the dependencies of a server and its exchange.
+type Options struct {
+	View   *view.View
+	Config *inforce.Holder
+	Dialer *link.Dialer
+	Seeds  []string
+	Grants *Grants
+	Clock  clockwork.Clock
+	Log    *event.Log
+	// Epoch tells one life of this process from the next.
+	Epoch uint64
+	// Newer is told the address of a peer that has a newer configuration.
+	Newer func(address string)
+	// Changed is told that there is news to spread.
+	Changed func()
+}
+
+// Server implements the drpc service of a router.
+type Server struct{ Options }
+
+var _ wire.DRPCRouterServer = (*Server)(nil)
+
+// NewServer returns a server.
+func NewServer(o Options) *Server { return &Server{o} }
+
+// Register adds the service to a mux.
+func (s *Server) Register(mux *drpcmux.Mux) error { return wire.DRPCRegisterRouter(mux, s) }
+
+// Exchange implements the drpc service: it takes the sender's news and answers with what the sender lacks.
+func (s *Server) Exchange(_ context.Context, r *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	sender := ids.VM(r.GetHeader().GetSender())
+	revision := ids.Revision(r.GetHeader().GetRevision())
+	news := convert.Each(r.GetMembers(), convert.MemberFromWire)
+	s.merge(news)
+	if r.GetRole() == string(membership.Agent) {
+		s.View.Heard(sender, revision, convert.LoadFromWire(r.GetLoad()))
+		return s.reply(sender, r), nil
+	}
+	s.View.HeardRevision(sender, revision)
+	if address, known := s.View.Address(sender); known && s.Config.Wants(revision) {
+		s.Newer(address)
+	}
+	return s.reply(sender, r), nil
+}
+
+// merge spreads what is new; a load report alone changes nothing.
+func (s *Server) merge(news []membership.Member) {
+	if len(news) == 0 {
+		return
+	}
+	var changed []membership.Member
+	s.View.MergeNews(news, func(c []membership.Member) { changed = c })
+	if len(changed) == 0 {
+		return
+	}
+	for _, m := range changed {
+		s.Log.Write(event.MemberChanged, "member", string(m.VM), "state", m.State.String())
+	}
+	s.Changed()
+}
+
+func (s *Server) reply(sender ids.VM, r *wire.ExchangeRequest) *wire.ExchangeReply {
+	after := r.GetKnownVersion()
+	if r.GetKnownEpoch() != s.Epoch {
+		after = 0
+	}
+	members, version := s.View.After(after)
+	out := &wire.ExchangeReply{Revision: uint64(s.Config.Revision()), Epoch: s.Epoch, Version: version}
+	toAgent := r.GetRole() == string(membership.Agent)
+	for _, m := range members {
+		if toAgent && m.Role == membership.Agent && m.VM != sender {
+			continue
+		}
+		out.Members = append(out.Members, convert.MemberToWire(m))
+	}
+	return out
+}
+
+// Fetch implements the drpc service.
+func (s *Server) Fetch(_ context.Context, r *wire.FetchRequest) (*wire.FetchReply, error) {
+	return s.Config.Serve(r)
+}
+
+// Grant implements the drpc service: this router is the home of the workspace.
+func (s *Server) Grant(_ context.Context, r *wire.GrantRequest) (*wire.GrantReply, error) {
+	granted := s.Grants.grantHere(ids.VM(r.GetHeader().GetSender()), ids.Workspace(r.GetWorkspace()), int(r.GetWant()), int(r.GetRunning()))
+	return &wire.GrantReply{Granted: uint32(granted)}, nil
+}
+
+// judgeInterval is how often silent members are looked for.
+const judgeInterval = 500 * time.Millisecond
+
+// Judge suspects silent members until the context ends.
+func (s *Server) Judge(ctx context.Context) {
+	ticker := s.Clock.NewTicker(judgeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		changed := s.View.Judge()
+		for _, m := range changed {
+			s.Log.Write(event.MemberChanged, "member", string(m.VM), "state", m.State.String())
+		}
+		if len(changed) > 0 {
+			s.Changed()
+		}
+	}
+}
--- /dev/null
+++ b/router/view/view.go
@@ -0,0 +1,245 @@
+// Package view is a router's picture of the fleet: its members, their load, and which of them can take a piece of work.
+//
+// # Usage
+//
+//	v := view.New(view.Options{...})
+//	vm, ok := v.Pick(view.Work{Service: "lug-pool", Model: model, Tokens: 300})
+//	witnesses := v.Witnesses(key)
+package view
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/core/choice"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/core/rendezvous"
+)
+
+// witnessCandidates is the number of agents, in the order of their weight, that may hold the journal of a request.
+const witnessCandidates = 6
+
+// Timeouts of a router's membership table.
+var tableTimeouts = membership.Timeouts{Silence: 3 * time.Second, Forget: 60 * time.Second}
+
+// Options are the dependencies of a view.
+type Options struct {
+	Self   membership.Member
+	Config *inforce.Holder
+	Clock  clockwork.Clock
+	Rand   *rand.Rand
+}
+
+// View is safe for concurrent use.
+type View struct {
+	config *inforce.Holder
+	clock  clockwork.Clock
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	table  *membership.Table
+	picker *choice.Picker
+	lists  *lists
+}
+
+// New returns a view that knows only its own router.
+func New(o Options) *View {
+	return &View{
+		config: o.Config, clock: o.Clock, rng: o.Rand,
+		table: membership.NewTable(o.Self, tableTimeouts), picker: choice.New(o.Rand),
+	}
+}
+
+// Self returns the router as it presents itself.
+func (v *View) Self() membership.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Self()
+}
+
+// Update changes the table under the lock; the lists derived from it are made anew.
+func (v *View) Update(change func(t *membership.Table)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	change(v.table)
+	v.lists = nil
+}
+
+// Heard notes a direct word of a member with its load, without a change of the lists.
+func (v *View) Heard(vm ids.VM, rev ids.Revision, load choice.Load) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	v.table.Heard(now, vm, rev)
+	if load.Slots > 0 {
+		v.picker.Report(now, vm, load)
+	}
+}
+
+// Report notes a load report that came with a reply.
+func (v *View) Report(vm ids.VM, load choice.Load) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.picker.Report(v.clock.Now(), vm, load)
+}
+
+// Failed passes an upstream over for a while.
+func (v *View) Failed(vm ids.VM) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.picker.Failed(v.clock.Now(), vm)
+}
+
+// Work is a piece of work to be placed.
+type Work struct {
+	Service  ids.Service
+	Model    ids.Model
+	Tokens   uint64
+	Affinity string
+	Avoid    []ids.VM
+}
+
+// Pick chooses an upstream for a piece of work and counts the work as sent.
+func (v *View) Pick(w Work) (ids.VM, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	candidates := v.derived().upstreams[upstreamKey{w.Service, w.Model}]
+	vm, ok := v.picker.Pick(now, choice.Request{Candidates: candidates, Tokens: w.Tokens, Affinity: w.Affinity, Avoid: w.Avoid})
+	if ok {
+		v.picker.Sent(now, vm, w.Tokens)
+	}
+	return vm, ok
+}
+
+// Upstreams lists the agents of a plain service in the order of their weight for a key.
+func (v *View) Upstreams(s ids.Service, key string) []ids.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return rendezvous.Order(key, v.derived().upstreams[upstreamKey{s, ids.Model{}}])
+}
+
+// Witnesses lists the agents that may hold the journal of a request. With own set, they are those that this router
+// writes to: outside its failure domain as far as there are any.
+func (v *View) Witnesses(key ids.RequestKey, own bool) []ids.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	l := v.derived()
+	if own && len(l.otherDomains) > 0 {
+		return rendezvous.Top(key.String(), l.otherDomains, witnessCandidates)
+	}
+	return rendezvous.Top(key.String(), l.agents, witnessCandidates)
+}
+
+// Address returns the address of a member.
+func (v *View) Address(vm ids.VM) (string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m, known := v.table.Get(vm)
+	return m.Address, known
+}
+
+// Routers lists the live routers, this one included.
+func (v *View) Routers() []ids.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.derived().routers
+}
+
+// Members lists all members.
+func (v *View) Members() []membership.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Members()
+}
+
+// Heards lists the members that speak to this router directly.
+func (v *View) Heards() []membership.Heard {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.Heards()
+}
+
+// RandomPeers returns at most n other live routers.
+func (v *View) RandomPeers(n int) []ids.VM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []ids.VM
+	routers := v.derived().routers
+	self := v.table.Self().VM
+	for _, i := range v.rng.Perm(len(routers)) {
+		if routers[i] != self && len(out) < n {
+			out = append(out, routers[i])
+		}
+	}
+	return out
+}
+
+// MergeNews merges news of members, and tells what changed.
+func (v *View) MergeNews(news []membership.Member, changed func([]membership.Member)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := v.table.Merge(v.clock.Now(), news)
+	if len(c) > 0 {
+		v.lists = nil
+	}
+	changed(c)
+}
+
+// Judge suspects silent members and returns those that changed.
+func (v *View) Judge() []membership.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	self, routers := v.table.Self().VM, v.derived().routers
+	changed := v.table.Judge(v.clock.Now(), func(vm ids.VM) bool {
+		return slices.Contains(rendezvous.Top(string(vm), routers, membership.HeartbeatRouters), self)
+	})
+	if len(changed) > 0 {
+		v.lists = nil
+	}
+	return changed
+}
+
+// After returns the members that changed after a version of the table, with the current version.
+func (v *View) After(version uint64) ([]membership.Member, uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.table.After(version)
+}
+
+// Unacknowledged returns the members that a peer lacks, with the version that it then has. An unknown peer lacks all.
+func (v *View) Unacknowledged(peer ids.VM) ([]membership.Member, uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if peer == "" {
+		return v.table.After(0)
+	}
+	return v.table.Since(peer)
+}
+
+// Acknowledge notes what a peer has; one that was restarted has lost it.
+func (v *View) Acknowledge(peer ids.VM, version uint64, restarted bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if restarted {
+		v.table.Reset(peer)
+		return
+	}
+	if peer != "" {
+		v.table.Acknowledge(peer, version)
+	}
+}
+
+// HeardRevision notes the revision of a peer that answered. A peer is not judged by the exchanges that this router
+// begins, since they reach each peer rarely.
+func (v *View) HeardRevision(vm ids.VM, rev ids.Revision) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.table.NoteRevision(vm, rev)
+}
--- /dev/null
+++ b/standin/httpjson/httpjson.go
@@ -0,0 +1,29 @@
+// Package httpjson has the few HTTP helpers that the stand-ins share.
+//
+// # Usage
+//
+//	v, ok := httpjson.Read[Faults](w, r)
+//	httpjson.Write(w, http.StatusOK, v)
+package httpjson
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Read decodes a request's body, or answers with status 400.
+func Read[T any](w http.ResponseWriter, r *http.Request) (T, bool) {
+	var v T
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return v, false
+	}
+	return v, true
+}
+
+// Write encodes an answer.
+func Write(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,72 @@
+// Command bilberrylug-standin runs small stand-ins for the systems around bilberrylug, for tests and demonstrations.
+//
+// # Usage
+//
+//	bilberrylug-standin platform --listen 127.0.0.1:7070
+//	bilberrylug-standin engine --listen 127.0.0.1:8001 --model lug-7b@1
+//	bilberrylug-standin plain --listen 127.0.0.1:8101
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"bilberrylug.dev/standin/engine"
+	"bilberrylug.dev/standin/plain"
+	"bilberrylug.dev/standin/platform"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "bilberrylug-standin",
+		Usage: "run a stand-in for a system around bilberrylug",
+		Commands: []*cli.Command{
+			command("platform", "the platform's key-value service and list of VMs", nil, func(*cli.Command) http.Handler {
+				return platform.New().Handler()
+			}),
+			command("engine", "a model engine", engineFlags(), newEngine),
+			command("plain", "a plain service", nil, func(*cli.Command) http.Handler { return plain.New().Handler() }),
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command(name, usage string, flags []cli.Flag, handler func(*cli.Command) http.Handler) *cli.Command {
+	flags = append(flags, &cli.StringFlag{Name: "listen", Required: true, Usage: "address to listen on"})
+	return &cli.Command{Name: name, Usage: usage, Flags: flags, Action: func(_ context.Context, c *cli.Command) error {
+		s := &http.Server{Addr: c.String("listen"), Handler: handler(c), ReadHeaderTimeout: time.Minute}
+		return s.ListenAndServe()
+	}}
+}
+
+func engineFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "model", Usage: "loaded model as name@version"},
+		&cli.DurationFlag{Name: "cadence", Value: 20 * time.Millisecond, Usage: "time between tokens"},
+		&cli.DurationFlag{Name: "prefill", Value: 40 * time.Millisecond, Usage: "time before the first token"},
+		&cli.DurationFlag{Name: "report-lag", Value: 2 * time.Second, Usage: "age of load reports"},
+		&cli.IntFlag{Name: "slots", Value: 16, Usage: "streams in the batch"},
+		&cli.BoolFlag{Name: "checks-fence", Usage: "refuse orders with an old fencing number"},
+	}
+}
+
+func newEngine(c *cli.Command) http.Handler {
+	o := engine.Options{
+		Cadence: c.Duration("cadence"), Prefill: c.Duration("prefill"), Slots: c.Int("slots"),
+		ChecksFence: c.Bool("checks-fence"), ReportLag: c.Duration("report-lag"),
+	}
+	for _, m := range c.StringSlice("model") {
+		name, version, _ := strings.Cut(m, "@")
+		o.Models = append(o.Models, engine.Model{Name: name, Version: version})
+	}
+	return engine.New(o).Handler()
+}
