generation: number the appends; property test of an answer over crashes, pauses, crossed and lost words

Cause: the new property test (rapid) found an answer that never ended: a repeated answer to an earlier append was taken for the answer to the final one, whose own answer was then dropped. Change: each append has a number, and only the answer to the last one counts. The test can fail: taking words of older attempts, re-adding repeated tokens, dropping the owner check, dropping the digest check, dropping the overlap check each made it fail.

--- a/agent/main.go
+++ b/agent/main.go
@@ -21,6 +21,14 @@
 )
 
 func main() {
+	if err := execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// execute runs until the process is asked to stop.
+func execute() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	command := &cli.Command{
@@ -29,10 +37,7 @@
 		Flags:  []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "path of the settings file"}},
 		Action: run,
 	}
-	if err := command.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	return command.Run(ctx, os.Args)
 }
 
 func run(ctx context.Context, c *cli.Command) error {
--- a/agent/router/call.go
+++ b/agent/router/call.go
@@ -114,7 +114,11 @@
 	}
 	recorded := s.Book.Finish(bucket, start.Key, start.Call, reply)
 	select {
-	case <-recorded:
+	case err = <-recorded:
+		// The reply is given all the same: it is the true outcome, and the record is only for repeats.
+		if err != nil {
+			s.Log.Write(event.LedgerWriteLost, "bucket", bucket, "error", err.Error())
+		}
 	case <-s.Clock.After(finishWait):
 	}
 	return callResult{Reply: reply}, nil
--- a/bench/caller/client.go
+++ b/bench/caller/client.go
@@ -11,6 +11,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -78,22 +79,21 @@
 	return longest
 }
 
-// Refusal is an answer of the router that is no success.
-type Refusal struct {
+// RefusalError is an answer of the router that is no success.
+type RefusalError struct {
 	Status int
 	Code   string
 	Claim  string
 }
 
 // Error names the code.
-func (r *Refusal) Error() string { return fmt.Sprintf("status %d, code %s", r.Status, r.Code) }
+func (r *RefusalError) Error() string { return fmt.Sprintf("status %d, code %s", r.Status, r.Code) }
 
 type stream struct {
 	req    Request
 	result Result
 	lastID string
 	last   time.Time
-	ended  bool
 }
 
 // Stream reads a streamed answer. When its connection is lost it comes back through the next router with the last event
@@ -107,7 +107,8 @@
 			s.result.Err = err
 			break
 		}
-		if refusal, ok := err.(*Refusal); ok && (s.lastID == "" || s.result.Reconnects > 50) {
+		var refusal *RefusalError
+		if errors.As(err, &refusal) && (s.lastID == "" || s.result.Reconnects > 50) {
 			s.result.Err, s.result.Status, s.result.Code = err, refusal.Status, refusal.Code
 			break
 		}
@@ -161,11 +162,11 @@
 	} `json:"error"`
 }
 
-func refusalOf(resp *http.Response) error {
+func refusalOf(resp *http.Response) *RefusalError {
 	var e errorBody
 	body, _ := io.ReadAll(resp.Body)
 	_ = json.Unmarshal(body, &e)
-	return &Refusal{resp.StatusCode, e.Error.Code, e.Error.Claim}
+	return &RefusalError{resp.StatusCode, e.Error.Code, e.Error.Claim}
 }
 
 func (s *stream) readEvents(r io.Reader) error {
@@ -187,7 +188,7 @@
 		if failed {
 			var e errorBody
 			_ = json.Unmarshal([]byte(payload), &e)
-			return &Refusal{http.StatusOK, e.Error.Code, e.Error.Claim}
+			return &RefusalError{http.StatusOK, e.Error.Code, e.Error.Claim}
 		}
 		if payload == "[DONE]" {
 			return nil
@@ -251,10 +252,8 @@
 func checkWhole(resp *http.Response, req Request, result *Result) {
 	result.Status = resp.StatusCode
 	if resp.StatusCode != http.StatusOK {
-		result.Err = refusalOf(resp)
-		if r, ok := result.Err.(*Refusal); ok {
-			result.Code = r.Code
-		}
+		refusal := refusalOf(resp)
+		result.Err, result.Code = refusal, refusal.Code
 		return
 	}
 	var c chunk
@@ -289,9 +288,8 @@
 	defer func() { _ = resp.Body.Close() }()
 	out := Reply{Status: resp.StatusCode, Recorded: resp.Header.Get("X-Bilberrylug-Recorded") == "true"}
 	if resp.StatusCode >= http.StatusBadRequest {
-		if r, ok := refusalOf(resp).(*Refusal); ok {
-			out.Code, out.Claim = r.Code, r.Claim
-		}
+		refusal := refusalOf(resp)
+		out.Code, out.Claim = refusal.Code, refusal.Claim
 	} else {
 		text, _ := io.ReadAll(resp.Body)
 		out.Body = string(text)
--- a/core/declared/check.go
+++ b/core/declared/check.go
@@ -19,11 +19,11 @@
 	services  map[ids.Service]Kind
 	seenNames map[string]string
 	seenKeys  map[string]ids.Workspace
-	findings  *Findings
+	findings  *FindingsError
 }
 
-func check(documents []document, merged *Config) Findings {
-	var findings Findings
+func check(documents []document, merged *Config) FindingsError {
+	var findings FindingsError
 	services := make(map[ids.Service]Kind)
 	for _, s := range merged.Services {
 		services[s.Name] = s.Kind
--- a/core/declared/finding.go
+++ b/core/declared/finding.go
@@ -19,11 +19,11 @@
 	return fmt.Sprintf("%s:%d: %s %s; %s", f.File, f.Line, f.Check, f.Text, f.Remedy)
 }
 
-// Findings is a rejected file set.
-type Findings []Finding
+// FindingsError is a rejected file set.
+type FindingsError []Finding
 
 // Error lists the findings, one a line.
-func (f Findings) Error() string {
+func (f FindingsError) Error() string {
 	lines := make([]string, 0, len(f))
 	for _, one := range f {
 		lines = append(lines, one.String())
--- a/core/declared/parse.go
+++ b/core/declared/parse.go
@@ -23,9 +23,9 @@
 	tree *ast.File
 }
 
-// Parse reads a file set and checks it as a whole. The error is of type [Findings].
+// Parse reads a file set and checks it as a whole. The error is of type [FindingsError].
 func Parse(files []File) (*Config, error) {
-	var findings Findings
+	var findings FindingsError
 	var documents []document
 	for _, f := range files {
 		d, found := parseFile(f)
@@ -43,15 +43,15 @@
 	return merged, nil
 }
 
-func parseFile(f File) (document, Findings) {
+func parseFile(f File) (document, FindingsError) {
 	d := document{file: f}
 	decoder := yaml.NewDecoder(bytes.NewReader(f.Body), yaml.Strict())
 	if err := decoder.Decode(&d.cfg); err != nil && !errors.Is(err, io.EOF) {
-		return d, Findings{syntaxFinding(f, err)}
+		return d, FindingsError{syntaxFinding(f, err)}
 	}
 	tree, err := parser.ParseBytes(f.Body, 0)
 	if err != nil {
-		return d, Findings{syntaxFinding(f, err)}
+		return d, FindingsError{syntaxFinding(f, err)}
 	}
 	d.tree = tree
 	return d, nil
--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -2,31 +2,34 @@
 
 import "log/slog"
 
+// noAction stands where an operator has nothing to do.
+const noAction = "None."
+
 // The events, by number. Numbers are stable; docs/events.md is generated from [Catalogue].
 var (
-	Started           = Kind{"EV1001", slog.LevelInfo, "process started", "None."}
+	Started           = Kind{"EV1001", slog.LevelInfo, "process started", noAction}
 	Stopping          = Kind{"EV1002", slog.LevelInfo, "planned stop began", "None; running work is finished first."}
-	Stopped           = Kind{"EV1003", slog.LevelInfo, "process stopped", "None."}
-	Ready             = Kind{"EV1004", slog.LevelInfo, "process is ready", "None."}
-	ConfigInForce     = Kind{"EV2001", slog.LevelInfo, "configuration in force", "None."}
+	Stopped           = Kind{"EV1003", slog.LevelInfo, "process stopped", noAction}
+	Ready             = Kind{"EV1004", slog.LevelInfo, "process is ready", noAction}
+	ConfigInForce     = Kind{"EV2001", slog.LevelInfo, "configuration in force", noAction}
 	ConfigUnreadable  = Kind{"EV2002", slog.LevelError, "configuration could not be read", "Check the chunks of the named revision; the former revision stays in force."}
 	StoreFailed       = Kind{"EV2003", slog.LevelWarn, "platform's service did not answer", "Check the platform's service; serving goes on without it."}
 	MemberChanged     = Kind{"EV3001", slog.LevelInfo, "member changed its state", "None, unless many change at once."}
 	ExchangeFailed    = Kind{"EV3002", slog.LevelDebug, "exchange with a peer failed", "None, unless it lasts."}
 	Draining          = Kind{"EV3003", slog.LevelInfo, "upstream is leaving", "Stop the VM when its running work is zero."}
-	AttemptStarted    = Kind{"EV4001", slog.LevelDebug, "attempt started", "None."}
+	AttemptStarted    = Kind{"EV4001", slog.LevelDebug, "attempt started", noAction}
 	AttemptLost       = Kind{"EV4002", slog.LevelWarn, "attempt lost", "Check the named upstream; the answer is resumed elsewhere."}
 	AnswerFailed      = Kind{"EV4003", slog.LevelWarn, "answer ended with a fault", "See the fault's remedy."}
-	AnswerClaimed     = Kind{"EV4004", slog.LevelInfo, "answer taken over from another router", "None."}
+	AnswerClaimed     = Kind{"EV4004", slog.LevelInfo, "answer taken over from another router", noAction}
 	WitnessLost       = Kind{"EV4005", slog.LevelWarn, "witness lost", "Check the named agent; the journal moved to the next one."}
 	UpstreamUnhealthy = Kind{"EV4101", slog.LevelWarn, "upstream does not answer", "Check the upstream beside this agent."}
-	UpstreamHealthy   = Kind{"EV4102", slog.LevelInfo, "upstream answers", "None."}
+	UpstreamHealthy   = Kind{"EV4102", slog.LevelInfo, "upstream answers", noAction}
 	CallUnknown       = Kind{"EV5001", slog.LevelWarn, "outcome of a call is unknown", "Look the record up at the service under the idempotency key."}
-	CallSettled       = Kind{"EV5002", slog.LevelInfo, "call cancelled through the ledger", "None."}
+	CallSettled       = Kind{"EV5002", slog.LevelInfo, "call cancelled through the ledger", noAction}
 	LedgerWriteLost   = Kind{"EV5003", slog.LevelWarn, "answer of a ledger write was lost", "None; the bucket is read back."}
-	LeaseHeld         = Kind{"EV6001", slog.LevelInfo, "order lease held", "None."}
+	LeaseHeld         = Kind{"EV6001", slog.LevelInfo, "order lease held", noAction}
 	LeaseLost         = Kind{"EV6002", slog.LevelInfo, "order lease lost", "None; another router gives orders."}
-	OrderGiven        = Kind{"EV6003", slog.LevelInfo, "order given", "None."}
+	OrderGiven        = Kind{"EV6003", slog.LevelInfo, "order given", noAction}
 	OrderRefused      = Kind{"EV6004", slog.LevelWarn, "order refused", "See the fault's remedy."}
 )
 
--- a/core/generation/command.go
+++ b/core/generation/command.go
@@ -19,8 +19,10 @@
 // CancelAttempt asks to end a run.
 type CancelAttempt struct{ Attempt ids.Attempt }
 
-// Append asks to send an entry to the current witness.
+// Append asks to send an entry to the current witness. Its number grows with every append of the machine, so that a
+// repeated or late answer to an earlier one is known as such.
 type Append struct {
+	Number  uint64
 	Witness ids.VM
 	Entry   journal.Entry
 }
--- a/core/generation/event.go
+++ b/core/generation/event.go
@@ -35,16 +35,16 @@
 	Detail  string
 }
 
-// WitnessAnswered reports a witness's answer to an append.
+// WitnessAnswered reports a witness's answer to the append of that number.
 type WitnessAnswered struct {
-	Witness ids.VM
+	Append  uint64
 	Length  uint32
 	Final   bool
 	Refusal journal.Refusal
 }
 
-// WitnessLost reports that a witness did not answer.
-type WitnessLost struct{ Witness ids.VM }
+// WitnessLost reports that a witness did not answer the append of that number.
+type WitnessLost struct{ Append uint64 }
 
 // CallerLeft reports that the caller's connection ended.
 type CallerLeft struct{}
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -49,6 +49,7 @@
 	witness       int
 	witnessOpened bool
 	inFlight      bool
+	appends       uint64
 	witnessed     uint32
 	revealed      uint32
 
--- /dev/null
+++ b/core/generation/machine_test.go
@@ -0,0 +1,106 @@
+package generation_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/generation"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/journal"
+)
+
+var _ = Describe("an answer", func() {
+	It("shows its caller every token once, in order, over crashes, pauses, crossed and lost words", func() {
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			w := newWorld(t)
+			t.Repeat(map[string]func(*rapid.T){
+				"engineWorks": w.engineWorks, "engineWorksOn": w.engineWorks, "engineDies": w.engineDies,
+				"wordArrives": w.wordArrives, "firstWordArrives": w.firstWordArrives, "firstWordArrivesToo": w.firstWordArrives,
+				"appendArrives": w.appendArrives, "appendArrivesToo": w.appendArrives,
+				"witnessRestarts": w.witnessRestarts, "timePasses": w.timePasses, "callerMoves": w.callerMoves,
+			})
+			w.settle()
+		})
+	})
+})
+
+var _ = Describe("a machine", func() {
+	var (
+		m   *generation.Machine
+		now time.Time
+	)
+	timeouts := generation.Timeouts{
+		Silence: time.Second, TokenGap: 2500 * time.Millisecond, MinTokenGap: time.Second, GapFactor: 40,
+		CallerGrace: 10 * time.Second, NoProgress: 20 * time.Second,
+	}
+	BeforeEach(func() {
+		now = time.Unix(0, 0)
+		m = generation.New(generation.Options{
+			Journal: journal.Journal{Key: worldKey}, Owner: "r1", Witnesses: []ids.VM{"w1", "w2"}, Timeouts: timeouts, Resumes: 2,
+		})
+		m.Start(now)
+	})
+	opened := generation.WitnessAnswered{Append: 1}
+	token := func(a ids.Attempt, at uint32, text string) generation.TokensArrived {
+		return generation.TokensArrived{Attempt: a, First: at, Tokens: []string{text}}
+	}
+
+	It("starts no attempt before a witness holds the journal, so that no_witness truly did not run", func() {
+		Expect(m.Handle(now, generation.WitnessLost{Append: 1})).To(ContainElement(BeAssignableToTypeOf(generation.Append{})))
+		cmds := m.Handle(now, generation.WitnessLost{Append: 2})
+		Expect(cmds).To(Equal([]generation.Command{generation.Fail{Code: fault.NoWitness, Detail: "no witness is left"}}))
+	})
+	It("reveals a token only when the witness has it", func() {
+		m.Handle(now, opened)
+		Expect(m.Handle(now, token(1, 0, "a"))).To(HaveLen(1))
+		Expect(m.Revealed()).To(BeZero())
+		Expect(m.Handle(now, generation.WitnessAnswered{Append: 2, Length: 1})).To(ContainElement(generation.Reveal{To: 1}))
+	})
+	It("drops and counts the words of an older attempt", func() {
+		m.Handle(now, opened)
+		m.Handle(now, token(1, 0, "a"))
+		m.Handle(now, generation.AttemptFailed{Attempt: 1, Code: fault.UpstreamLost})
+		m.Handle(now, token(1, 1, "late"))
+		Expect(m.Tokens()).To(Equal([]string{"a"}))
+		Expect(m.Late).To(Equal(1))
+	})
+	It("resumes after a second of silence, and not while the agent sees the engine work", func() {
+		m.Handle(now, opened)
+		now = now.Add(900 * time.Millisecond)
+		m.Handle(now, generation.AttemptAlive{Attempt: 1})
+		now = now.Add(900 * time.Millisecond)
+		Expect(m.Handle(now, generation.Tick{})).To(BeEmpty())
+		now = now.Add(200 * time.Millisecond)
+		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.StartAttempt{Attempt: 2, AfterLoss: true}))
+	})
+	It("resumes an engine that stopped giving tokens after at most 2.5 s, also while its agent is alive", func() {
+		m.Handle(now, opened)
+		m.Handle(now, token(1, 0, "a"))
+		for range 26 {
+			now = now.Add(100 * time.Millisecond)
+			m.Handle(now, generation.AttemptAlive{Attempt: 1})
+		}
+		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.StartAttempt{Attempt: 2, Prefix: 1, AfterLoss: true}))
+	})
+	It("ends with resume_exhausted, never with a claim of not run, once work may have run", func() {
+		m.Handle(now, opened)
+		m.Handle(now, token(1, 0, "a"))
+		var last []generation.Command
+		for a := ids.Attempt(1); a <= 3; a++ {
+			last = m.Handle(now, generation.AttemptFailed{Attempt: a, Code: fault.UpstreamLost})
+		}
+		Expect(last).To(ContainElement(HaveField("Code", fault.ResumeExhausted)))
+	})
+	It("cancels the attempt when the caller stays away for the grace", func() {
+		m.Handle(now, opened)
+		m.Handle(now, generation.CallerLeft{})
+		now = now.Add(10 * time.Second)
+		m.Handle(now, generation.AttemptAlive{Attempt: 1})
+		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.CancelAttempt{Attempt: 1}))
+		Expect(m.Done()).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/core/generation/suite_test.go
@@ -0,0 +1,21 @@
+package generation_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// The seed, the number of worlds and their length are fixed, so that every run gives the same verdict.
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "3000")
+	_ = flag.Set("rapid.steps", "120")
+}
+
+func TestGeneration(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "generation")
+}
--- a/core/generation/witness.go
+++ b/core/generation/witness.go
@@ -32,11 +32,12 @@
 	e.FinishReason = m.finishReason
 	m.finalSent = e.FinishReason != ""
 	m.inFlight = true
-	return append(cmds, Append{m.Witness(), e})
+	m.appends++
+	return append(cmds, Append{m.appends, m.Witness(), e})
 }
 
 func (m *Machine) witnessAnswered(now time.Time, e WitnessAnswered) []Command {
-	if e.Witness != m.Witness() || !m.inFlight {
+	if e.Append != m.appends || !m.inFlight {
 		return nil
 	}
 	m.inFlight = false
@@ -75,7 +76,7 @@
 }
 
 func (m *Machine) witnessLost(_ time.Time, e WitnessLost) []Command {
-	if e.Witness != m.Witness() {
+	if e.Append != m.appends || !m.inFlight {
 		return nil
 	}
 	m.inFlight = false
--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -62,7 +62,7 @@
 	if errors.As(err, &exit) {
 		return exit.code
 	}
-	var findings declared.Findings
+	var findings declared.FindingsError
 	if errors.As(err, &findings) {
 		return ExitInvalid
 	}
@@ -70,16 +70,17 @@
 	if !errors.As(err, &typed) {
 		return ExitFailed
 	}
-	switch typed.Kind.Code {
-	case fault.ConfigInvalid:
-		return ExitInvalid
-	case fault.ApplyConflict:
-		return ExitConflict
-	case fault.StoreUnavailable:
-		return ExitUnknown
-	default:
-		return ExitFailed
+	if code, listed := exitCodes[typed.Kind.Code]; listed {
+		return code
 	}
+	return ExitFailed
+}
+
+// exitCodes gives the faults that have an exit code of their own.
+var exitCodes = map[fault.Code]int{
+	fault.ConfigInvalid:    ExitInvalid,
+	fault.ApplyConflict:    ExitConflict,
+	fault.StoreUnavailable: ExitUnknown,
 }
 
 // Tool is what the commands share.
@@ -189,14 +190,14 @@
 		Name: "validate", Usage: "check files without applying them", ArgsUsage: "FILE|DIRECTORY...",
 		Action: func(_ context.Context, c *cli.Command) error {
 			cfg, err := load(c.Args().Slice())
-			var findings declared.Findings
+			var findings declared.FindingsError
 			if errors.As(err, &findings) && c.String("output") == "json" {
 				_ = t.print(c, findings, func() {})
 			}
 			if err != nil {
 				return err
 			}
-			return t.print(c, declared.Findings{}, func() {
+			return t.print(c, declared.FindingsError{}, func() {
 				t.printf("valid: %d services, %d workspaces\n", len(cfg.Services), len(cfg.Workspaces))
 			})
 		},
--- a/router/agent/appender.go
+++ b/router/agent/appender.go
@@ -22,7 +22,8 @@
 )
 
 type pendingEntry struct {
-	entry  journal.Entry
+	generation.Append
+
 	report func(generation.Event)
 }
 
@@ -37,15 +38,15 @@
 }
 
 // Append sends an entry to a witness and reports the answer.
-func (l *Links) Append(witness ids.VM, e journal.Entry, report func(generation.Event)) {
+func (l *Links) Append(c generation.Append, report func(generation.Event)) {
 	l.mu.Lock()
-	a, known := l.appenders[witness]
+	a, known := l.appenders[c.Witness]
 	if !known {
-		a = &appender{links: l, vm: witness}
-		l.appenders[witness] = a
+		a = &appender{links: l, vm: c.Witness}
+		l.appenders[c.Witness] = a
 	}
 	l.mu.Unlock()
-	a.add(pendingEntry{e, report})
+	a.add(pendingEntry{c, report})
 }
 
 func (a *appender) add(p pendingEntry) {
@@ -78,18 +79,18 @@
 			a.links.Log.Write(event.WitnessLost, "witness", string(a.vm), "error", err.Error())
 		}
 		for i, p := range batch {
-			p.report(a.answer(p.entry, reply, i, err))
+			p.report(answer(p.Append, reply, i, err))
 		}
 	}
 }
 
-func (a *appender) answer(e journal.Entry, reply *wire.JournalReply, i int, err error) generation.Event {
+func answer(c generation.Append, reply *wire.JournalReply, i int, err error) generation.Event {
 	if err != nil || i >= len(reply.GetResults()) {
-		return generation.WitnessLost{Witness: a.vm}
+		return generation.WitnessLost{Append: c.Number}
 	}
 	result := reply.GetResults()[i]
 	return generation.WitnessAnswered{
-		Witness: a.vm, Length: result.GetLength(), Final: e.FinishReason != "", Refusal: journal.Refusal(result.GetRefusal()),
+		Append: c.Number, Length: result.GetLength(), Final: c.Entry.FinishReason != "", Refusal: journal.Refusal(result.GetRefusal()),
 	}
 }
 
@@ -103,7 +104,7 @@
 	defer func() { _ = conn.Close() }()
 	entries := make([]*wire.JournalEntry, 0, len(batch))
 	for _, p := range batch {
-		entries = append(entries, convert.EntryToWire(p.entry))
+		entries = append(entries, convert.EntryToWire(p.Entry))
 	}
 	reply, err := wire.NewDRPCAgentClient(conn).Append(ctx, &wire.JournalRequest{Header: a.links.header(), Entries: entries})
 	if err != nil {
--- a/router/answer/answer.go
+++ b/router/answer/answer.go
@@ -61,12 +61,11 @@
 	stopAttempt context.CancelFunc
 	lossAt      time.Time
 
-	mu        sync.Mutex
-	upstream  ids.VM
-	state     State
-	changed   chan struct{}
-	callers   int
-	completed bool
+	mu       sync.Mutex
+	upstream ids.VM
+	state    State
+	changed  chan struct{}
+	callers  int
 }
 
 // Prompt returns what the answer is generated from.
@@ -161,7 +160,7 @@
 		case generation.CancelAttempt:
 			a.cancelAttempt()
 		case generation.Append:
-			a.links.Append(c.Witness, c.Entry, a.report)
+			a.links.Append(c, a.report)
 		case generation.Reveal:
 			a.reveal(c.To)
 		case generation.Complete:
