--- /dev/null
+++ b/core/declared/parse_test.go
@@ -0,0 +1,146 @@
+package declared_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"bilberrylug.dev/core/declared"
+	"bilberrylug.dev/core/ids"
+)
+
+// wanted reads the finding that a broken file expects, beside the line where it is to be reported.
+func wanted(body string) (line int, check string) {
+	for i, text := range strings.Split(body, "\n") {
+		if _, found, ok := strings.Cut(text, "# want "); ok {
+			return i + 1, strings.TrimSpace(found)
+		}
+	}
+	return 0, ""
+}
+
+func generate(workspaces int) *declared.Config {
+	cfg := &declared.Config{Services: []declared.Service{{Name: "lug-pool", Kind: declared.ModelService, Models: []declared.Model{{Name: "lug-7b", Version: "1"}}}}}
+	for i := range workspaces {
+		name := fmt.Sprintf("w-%d", i)
+		cfg.Workspaces = append(cfg.Workspaces, declared.Workspace{
+			Name: ids.Workspace(name), KeyHash: declared.HashKey(name + ".k"), Services: []ids.Service{"lug-pool"}, RequestsPerSecond: 5, MaxRunning: 10,
+		})
+	}
+	return cfg
+}
+
+func yamlOf(workspaces int) []byte {
+	var b strings.Builder
+	b.WriteString("services:\n  - name: lug-pool\n    kind: model\n    models: [{name: lug-7b, version: \"1\"}]\nworkspaces:\n")
+	for i := range workspaces {
+		name := fmt.Sprintf("w-%d", i)
+		fmt.Fprintf(&b, "  - name: %s\n    key_hash: %s\n    services: [lug-pool]\n    requests_per_second: 5\n    max_running: 10\n", name, declared.HashKey(name+".k"))
+	}
+	return []byte(b.String())
+}
+
+var _ = Describe("broken files", func() {
+	names, _ := filepath.Glob("testdata/broken/*.yaml")
+	for _, name := range names {
+		It(filepath.Base(name)+" gives its finding at its line, with a remedy", func() {
+			body, err := os.ReadFile(name)
+			Expect(err).NotTo(HaveOccurred())
+			line, check := wanted(string(body))
+			_, err = declared.Parse([]declared.File{{Name: name, Body: body}})
+			var findings declared.FindingsError
+			Expect(errors.As(err, &findings)).To(BeTrue(), "%v", err)
+			Expect(findings).To(HaveLen(1), "%v", err)
+			Expect(findings[0]).To(And(HaveField("Check", check), HaveField("Line", line), HaveField("Remedy", Not(BeEmpty()))), "%v", err)
+		})
+	}
+	It("are ten or more", func() { Expect(len(names)).To(BeNumerically(">=", 10)) })
+})
+
+var _ = Describe("chunks", func() {
+	It("give the same configuration back, and a change of one workspace changes one of them", func() {
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			cfg := generate(rapid.IntRange(0, 400).Draw(t, "workspaces"))
+			set, err := cfg.Chunks()
+			if err != nil {
+				t.Fatal(err)
+			}
+			head := (&declared.Head{}).Next(declared.Summary{}, set)
+			back, err := head.Assemble(set.Bodies, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if d := declared.Diff(cfg, back); len(d) > 0 {
+				t.Fatalf("%v", d)
+			}
+			if len(cfg.Workspaces) == 0 {
+				return
+			}
+			i := rapid.IntRange(0, len(cfg.Workspaces)-1).Draw(t, "changed")
+			cfg.Workspaces[i].MaxRunning++
+			next, _ := cfg.Chunks()
+			fresh := 0
+			for hash := range next.Bodies {
+				if _, held := set.Bodies[hash]; !held {
+					fresh++
+				}
+			}
+			if fresh != 1 {
+				t.Fatalf("%d chunks are new", fresh)
+			}
+		})
+	})
+	It("are refused when one is missing or not what its hash names", func() {
+		set, _ := generate(10).Chunks()
+		head := (&declared.Head{}).Next(declared.Summary{}, set)
+		set.Bodies[set.ServicesChunk] = []byte("{}")
+		_, err := head.Assemble(set.Bodies, false)
+		Expect(err).To(MatchError(ContainSubstring("does not match its hash")))
+		delete(set.Bodies, set.ServicesChunk)
+		_, err = head.Assemble(set.Bodies, false)
+		Expect(err).To(MatchError(ContainSubstring("is missing")))
+	})
+})
+
+func BenchmarkParse19000(b *testing.B) {
+	body := yamlOf(19_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := declared.Parse([]declared.File{{Name: "w.yaml", Body: body}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkChunks19000(b *testing.B) {
+	cfg := generate(19_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := cfg.Chunks(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	names, _ := filepath.Glob("testdata/broken/*.yaml")
+	for _, name := range names {
+		body, _ := os.ReadFile(name)
+		f.Add(body)
+	}
+	f.Add(yamlOf(2))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		_, err := declared.Parse([]declared.File{{Name: "f.yaml", Body: body}})
+		var findings declared.FindingsError
+		if err != nil && !errors.As(err, &findings) {
+			t.Fatalf("an error without a finding: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/core/journal/suite_test.go
@@ -0,0 +1,16 @@
+package journal_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261204") }
+
+func TestJournal(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "journal")
+}
