Answers under failure as separate processes; an answer moves away from an engine that has become slow

Cause: with one engine slowed a hundred times (a token a second), answers there stayed below the silence limit and did not end within 60 s (e2e, 'an engine slowed a hundred times', failed first). Ruled out: a shorter silence limit (an engine at 62 ms a token pauses for a second at times; false resumes). Change: an attempt has an allowance of three times the usual pace (best of the answer, or the median that the agents report); 1.5 s behind it, the answer moves, within 4 moves a second for a router.

--- /dev/null
+++ b/bench/e2e/suite_test.go
@@ -0,0 +1,32 @@
+package e2e_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// binaries is the directory of the programs under test.
+var binaries string
+
+func TestE2E(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "separate processes")
+}
+
+var _ = BeforeSuite(func() {
+	dir, err := os.MkdirTemp("", "bilberrylug")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, dir)
+	binaries = dir
+	for _, module := range []string{"router", "agent", "standin", "ctl"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(dir, module), "bilberrylug.dev/"+module)
+		build.Dir = filepath.Join("..", "..")
+		out, err := build.CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+	}
+})
--- a/core/choice/picker.go
+++ b/core/choice/picker.go
@@ -185,3 +185,27 @@
 	own := time.Duration(float64(l.Cadence) * float64(tokens+1) * crowd)
 	return wait + own
 }
+
+// cadenceSample bounds the upstreams whose cadence is looked at.
+const cadenceSample = 15
+
+// UsualCadence returns the median of the reported times between tokens of a random sample of upstreams, or zero when none
+// has reported.
+func (p *Picker) UsualCadence(candidates []ids.VM) time.Duration {
+	if len(candidates) == 0 {
+		return 0
+	}
+	var seen []time.Duration
+	start := p.rng.IntN(len(candidates))
+	for i := range min(len(candidates), cadenceSample) {
+		u, known := p.upstreams[candidates[(start+i)%len(candidates)]]
+		if known && u.load.Cadence > 0 {
+			seen = append(seen, u.load.Cadence)
+		}
+	}
+	if len(seen) == 0 {
+		return 0
+	}
+	slices.Sort(seen)
+	return seen[len(seen)/2]
+}
--- a/core/generation/event.go
+++ b/core/generation/event.go
@@ -73,4 +73,6 @@
 	MinTokenGap time.Duration
 	CallerGrace time.Duration
 	NoProgress  time.Duration
+	// SlowDebt is the time by which an attempt may fall behind its allowance before the answer moves elsewhere.
+	SlowDebt time.Duration
 }
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -26,6 +26,10 @@
 	Witnesses []ids.VM
 	Timeouts  Timeouts
 	Resumes   int
+	// Reference is the usual time between tokens of the answer's model, or zero when it is not known.
+	Reference time.Duration
+	// MayMove grants one move away from a slow upstream; nil never does.
+	MayMove func() bool
 }
 
 // Machine is the state of one answer. It is not safe for concurrent use.
@@ -41,10 +45,9 @@
 	mayHaveRun bool
 	tokens     []string
 	lastWord   time.Time
-	lastToken  time.Time
 	progress   time.Time
 	retryAt    time.Time
-	cadence    time.Duration
+	pace       pace
 
 	witness       int
 	witnessOpened bool
@@ -102,6 +105,7 @@
 func (m *Machine) Start(now time.Time) []Command {
 	m.progress = now
 	m.started = m.finishReason != ""
+	m.pace.learn(m.opts.Reference)
 	m.mayHaveRun = m.attempt > 0
 	if m.attempt == 0 {
 		m.attempt = 1
@@ -141,7 +145,7 @@
 func (m *Machine) begin(now time.Time, cmds []Command, afterLoss bool) []Command {
 	m.running = true
 	m.lastWord = now
-	m.lastToken = time.Time{}
+	m.pace.begin()
 	return append(cmds, StartAttempt{m.attempt, uint32(len(m.tokens)), afterLoss})
 }
 
@@ -169,24 +173,13 @@
 		return nil
 	}
 	m.mayHaveRun = true
-	m.noteCadence(now, len(fresh))
+	m.lastWord = now
+	m.pace.note(now, len(fresh))
 	m.tokens = append(m.tokens, fresh...)
 	m.progress = now
 	return m.appendNext(nil)
 }
 
-// cadenceWeight is the share of a new sample in the running mean of the time between tokens, as a divisor.
-const cadenceWeight = 8
-
-func (m *Machine) noteCadence(now time.Time, n int) {
-	m.lastWord = now
-	if !m.lastToken.IsZero() {
-		sample := now.Sub(m.lastToken) / time.Duration(n)
-		m.cadence += (sample - m.cadence) / cadenceWeight
-	}
-	m.lastToken = now
-}
-
 func (m *Machine) attemptFinished(now time.Time, e AttemptFinished) []Command {
 	if e.Attempt != m.attempt || !m.running {
 		m.Late++
@@ -272,14 +265,11 @@
 	if now.Sub(m.lastWord) > m.opts.Timeouts.Silence {
 		return m.lose(now, fault.UpstreamLost, "no word from the agent")
 	}
-	if !m.lastToken.IsZero() && now.Sub(m.lastToken) > m.tokenGap() {
+	if m.pace.silent(now, m.opts.Timeouts) {
 		return m.lose(now, fault.UpstreamLost, "no token within the engine's own cadence")
 	}
+	if m.pace.behind(now) > m.opts.Timeouts.SlowDebt && m.opts.MayMove != nil && m.opts.MayMove() {
+		return m.lose(now, fault.UpstreamLost, "the engine has become slow")
+	}
 	return nil
 }
-
-// tokenGap is the longest time between two tokens that counts as slow and not as dead.
-func (m *Machine) tokenGap() time.Duration {
-	gap := m.cadence * time.Duration(m.opts.Timeouts.GapFactor)
-	return min(max(gap, m.opts.Timeouts.MinTokenGap), m.opts.Timeouts.TokenGap)
-}
--- a/core/generation/machine_test.go
+++ b/core/generation/machine_test.go
@@ -35,7 +35,7 @@
 	)
 	timeouts := generation.Timeouts{
 		Silence: time.Second, TokenGap: 2500 * time.Millisecond, MinTokenGap: time.Second, GapFactor: 40,
-		CallerGrace: 10 * time.Second, NoProgress: 20 * time.Second,
+		CallerGrace: 10 * time.Second, NoProgress: 20 * time.Second, SlowDebt: 1500 * time.Millisecond,
 	}
 	BeforeEach(func() {
 		now = time.Unix(0, 0)
@@ -86,6 +86,33 @@
 		}
 		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.StartAttempt{Attempt: 2, Prefix: 1, AfterLoss: true}))
 	})
+	It("moves an answer away from an engine that has become slow, within two seconds and its budget", func() {
+		moves := 1
+		m = generation.New(generation.Options{
+			Journal: journal.Journal{Key: worldKey}, Owner: "r1", Witnesses: []ids.VM{"w1"}, Resumes: 9,
+			Timeouts: timeouts, MayMove: func() bool { moves--; return moves >= 0 },
+		})
+		m.Start(now)
+		m.Handle(now, opened)
+		at := uint32(0)
+		give := func(n int, every time.Duration) []generation.Command {
+			for range n {
+				now = now.Add(every)
+				m.Handle(now, token(m.Attempt(), at, "t"))
+				at++
+				if cmds := m.Handle(now, generation.Tick{}); len(cmds) > 0 {
+					return cmds
+				}
+			}
+			return nil
+		}
+		Expect(give(50, 60*time.Millisecond)).To(BeEmpty())
+		Expect(give(50, 150*time.Millisecond)).To(BeEmpty())
+		began := now
+		Expect(give(50, 900*time.Millisecond)).To(ContainElement(BeAssignableToTypeOf(generation.StartAttempt{})))
+		Expect(now.Sub(began)).To(BeNumerically("<=", 2700*time.Millisecond))
+		Expect(give(50, 900*time.Millisecond)).To(BeEmpty())
+	})
 	It("ends with resume_exhausted, never with a claim of not run, once work may have run", func() {
 		m.Handle(now, opened)
 		m.Handle(now, token(1, 0, "a"))
--- a/core/inforce/holder_test.go
+++ b/core/inforce/holder_test.go
@@ -47,7 +47,9 @@
 	from *inforce.Holder
 }
 
-func (r relay) Fetch(_ context.Context, in *wire.FetchRequest) (*wire.FetchReply, error) { return r.from.Serve(in) }
+func (r relay) Fetch(_ context.Context, in *wire.FetchRequest) (*wire.FetchReply, error) {
+	return r.from.Serve(in)
+}
 
 var _ = Describe("holders", func() {
 	It("never revert, whoever offers what, and all reach the newest revision when everyone can speak", func() {
--- a/router/answer/registry.go
+++ b/router/answer/registry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
@@ -25,6 +26,11 @@
 	gapFactor   = 40
 	noProgress  = 20 * time.Second
 	maxResumes  = 16
+	slowDebt    = 1500 * time.Millisecond
+	// movesPerSecond and moveBurst bound the answers that a router moves away from slow upstreams, so that a general
+	// slowness does not become a storm of moves.
+	movesPerSecond = 4
+	moveBurst      = 16
 )
 
 // Options are the dependencies of a registry.
@@ -48,11 +54,12 @@
 	mu      sync.Mutex
 	answers map[ids.RequestKey]*Answer
 	bytes   int
+	moves   *rate.Limiter
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(o Options) *Registry {
-	return &Registry{opts: o, answers: make(map[ids.RequestKey]*Answer)}
+	return &Registry{opts: o, answers: make(map[ids.RequestKey]*Answer), moves: rate.NewLimiter(movesPerSecond, moveBurst)}
 }
 
 // Len returns the number of answers under way.
@@ -108,9 +115,10 @@
 	}
 	a.machine = generation.New(generation.Options{
 		Journal: j, Owner: o.Owner, Witnesses: witnesses, Resumes: maxResumes,
+		Reference: o.View.UsualCadence(j.Prompt.Service, j.Prompt.Model), MayMove: r.mayMove,
 		Timeouts: generation.Timeouts{
 			Silence: silence, TokenGap: tokenGap, MinTokenGap: minTokenGap, GapFactor: gapFactor,
-			CallerGrace: o.CallerGrace, NoProgress: noProgress,
+			CallerGrace: o.CallerGrace, NoProgress: noProgress, SlowDebt: slowDebt,
 		},
 	})
 	return a
@@ -125,3 +133,11 @@
 
 // Owner returns the identity under which this router holds answers.
 func (r *Registry) Owner() ids.Owner { return r.opts.Owner }
+
+func (r *Registry) mayMove() bool {
+	if !r.moves.AllowN(r.opts.Clock.Now(), 1) {
+		return false
+	}
+	r.opts.Metrics.Counter("moves").Inc(1)
+	return true
+}
--- a/router/view/view.go
+++ b/router/view/view.go
@@ -243,3 +243,10 @@
 	defer v.mu.Unlock()
 	v.table.NoteRevision(vm, rev)
 }
+
+// UsualCadence returns the median time between tokens that the agents of a model report, or zero when none does.
+func (v *View) UsualCadence(s ids.Service, m ids.Model) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.picker.UsualCadence(v.derived().upstreams[upstreamKey{s, m}])
+}
