--- a/bench/e2e/site_test.go
+++ b/bench/e2e/site_test.go
@@ -349,3 +349,13 @@
 	}
 	AddReportEntry("longest gap", longest.Round(time.Millisecond).String())
 }
+
+// setVM changes the platform's list.
+func (s *site) setVM(vm, state string) {
+	url := "http://" + s.processes["platform"].listen + "/standin/vms/" + vm + "?state=" + state
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPut, url, nil)
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	_ = resp.Body.Close()
+}
--- a/core/choice/picker.go
+++ b/core/choice/picker.go
@@ -23,10 +23,12 @@
 )
 
 const (
-	// defaultCadence is assumed of an upstream that has not reported yet.
+	// defaultCadence is assumed until any upstream has reported one.
 	defaultCadence = 30 * time.Millisecond
 	// defaultSlots is assumed of an upstream that has not reported yet.
 	defaultSlots = 16
+	// usualWeight is the share of a report in the running mean of all reported times between tokens, as a divisor.
+	usualWeight = 32
 	// reportLifetime is the age after which a report no longer counts.
 	reportLifetime = 5 * time.Second
 	// avoidTime is how long an upstream is passed over after a failure.
@@ -51,11 +53,13 @@
 type Picker struct {
 	rng       *rand.Rand
 	upstreams map[ids.VM]*upstream
+	// usual is the running mean of the reported times between tokens.
+	usual time.Duration
 }
 
 // New returns a picker with the given source of randomness.
 func New(rng *rand.Rand) *Picker {
-	return &Picker{rng: rng, upstreams: make(map[ids.VM]*upstream)}
+	return &Picker{rng: rng, upstreams: make(map[ids.VM]*upstream), usual: defaultCadence}
 }
 
 func (p *Picker) upstream(vm ids.VM) *upstream {
@@ -74,6 +78,10 @@
 	u.reportedAt = now
 	u.sent = 0
 	u.sentCount = 0
+	if l.Cadence > 0 {
+		// A single slow upstream must not make slowness usual.
+		p.usual += (min(l.Cadence, 2*p.usual) - p.usual) / usualWeight
+	}
 }
 
 // Sent notes work that was placed since the last report.
@@ -164,13 +172,13 @@
 	}
 	l := u.load
 	if now.Sub(u.reportedAt) > reportLifetime {
-		l = Load{Cadence: l.Cadence}
+		l = Load{}
 	}
 	if l.Slots == 0 {
 		l.Slots = defaultSlots
 	}
 	if l.Cadence == 0 {
-		l.Cadence = defaultCadence
+		l.Cadence = p.usual
 	}
 	return predict(l, u.sent, u.sentCount, tokens)
 }
--- a/core/choice/picker_test.go
+++ b/core/choice/picker_test.go
@@ -65,6 +65,18 @@
 		p.Report(start, "u0", choice.Load{Slots: 16, Cadence: 20 * time.Millisecond})
 		Expect(shares(p, choice.Request{Candidates: vms(4), Tokens: 100}, 400)["u0"]).To(BeNumerically(">", 50))
 	})
+	It("gives work to an upstream whose slowness was measured long ago, so that it can show its recovery", func() {
+		p := newPicker()
+		for range 200 {
+			for _, vm := range vms(4) {
+				p.Report(start, vm, choice.Load{Slots: 16, Running: 4, Cadence: 10 * time.Millisecond})
+			}
+		}
+		p.Report(start, "u0", choice.Load{Slots: 16, Cadence: 70 * time.Millisecond})
+		Expect(shares(p, choice.Request{Candidates: vms(4), Tokens: 100}, 100)["u0"]).To(BeZero())
+		p.Report(start, "u0", choice.Load{Slots: 16})
+		Expect(shares(p, choice.Request{Candidates: vms(4), Tokens: 100}, 100)["u0"]).To(BeNumerically(">", 10))
+	})
 	It("keeps a prompt's prefix together, but not on an upstream that is busier by more than the bound", func() {
 		p := newPicker()
 		r := choice.Request{Candidates: vms(8), Tokens: 100, Affinity: "ledger of lot 7"}
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -26,6 +26,8 @@
 	Witnesses []ids.VM
 	Timeouts  Timeouts
 	Resumes   int
+	// MoreWitnesses returns candidates anew when the list is used up; nil returns none.
+	MoreWitnesses func() []ids.VM
 	// Reference is the usual time between tokens of the answer's model, or zero when it is not known.
 	Reference time.Duration
 	// MayMove grants one move away from a slow upstream; nil never does.
@@ -46,6 +48,7 @@
 	tokens     []string
 	lastWord   time.Time
 	progress   time.Time
+	revealedAt time.Time
 	retryAt    time.Time
 	pace       pace
 
@@ -254,6 +257,9 @@
 	if m.callerGone && now.Sub(m.callerLeftAt) >= m.opts.Timeouts.CallerGrace {
 		return m.end(fault.Superseded, "the caller left", nil)
 	}
+	if m.Witness() == "" {
+		return m.findWitness(now)
+	}
 	if !m.running && m.finishReason == "" && !m.retryAt.IsZero() && !now.Before(m.retryAt) {
 		m.retryAt = time.Time{}
 		m.attempt++
--- a/core/generation/machine_test.go
+++ b/core/generation/machine_test.go
@@ -86,6 +86,23 @@
 		}
 		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.StartAttempt{Attempt: 2, Prefix: 1, AfterLoss: true}))
 	})
+	It("looks for new witnesses when all that it knew have been lost, and shows nothing meanwhile", func() {
+		candidates := []ids.VM{}
+		m = generation.New(generation.Options{
+			Journal: journal.Journal{Key: worldKey}, Owner: "r1", Witnesses: []ids.VM{"w1"}, Timeouts: timeouts, Resumes: 2,
+			MoreWitnesses: func() []ids.VM { return candidates },
+		})
+		m.Start(now)
+		m.Handle(now, opened)
+		m.Handle(now, token(1, 0, "a"))
+		Expect(m.Handle(now, generation.WitnessLost{Append: 2})).To(BeEmpty())
+		Expect(m.Handle(now, generation.Tick{})).To(BeEmpty())
+		Expect(m.Revealed()).To(BeZero())
+		candidates = []ids.VM{"w9"}
+		cmds := m.Handle(now, generation.Tick{})
+		Expect(cmds).To(ConsistOf(HaveField("Witness", ids.VM("w9"))))
+		Expect(m.Handle(now, generation.WitnessAnswered{Append: 3, Length: 1})).To(ContainElement(generation.Reveal{To: 1}))
+	})
 	It("moves an answer away from an engine that has become slow, within two seconds and its budget", func() {
 		moves := 1
 		m = generation.New(generation.Options{
--- a/core/generation/witness.go
+++ b/core/generation/witness.go
@@ -14,7 +14,7 @@
 		return cmds
 	}
 	if m.Witness() == "" {
-		return m.end(fault.NoWitness, "no witness is left", cmds)
+		return cmds
 	}
 	length := uint32(len(m.tokens))
 	final := m.finishReason != "" && !m.finalSent
@@ -51,13 +51,14 @@
 		m.finalSent = false
 		return m.appendNext(nil)
 	case journal.Full, journal.Diverged:
-		return m.nextWitness()
+		return m.nextWitness(now)
 	}
-	return m.nextWitness()
+	return m.nextWitness(now)
 }
 
 func (m *Machine) witnessAccepted(now time.Time, e WitnessAnswered) []Command {
 	m.witnessOpened = true
+	m.revealedAt = now
 	m.witnessed = max(m.witnessed, min(e.Length, uint32(len(m.tokens))))
 	var cmds []Command
 	if m.witnessed > m.revealed {
@@ -75,19 +76,38 @@
 	return m.appendNext(cmds)
 }
 
-func (m *Machine) witnessLost(_ time.Time, e WitnessLost) []Command {
+func (m *Machine) witnessLost(now time.Time, e WitnessLost) []Command {
 	if e.Append != m.appends || !m.inFlight {
 		return nil
 	}
 	m.inFlight = false
-	return m.nextWitness()
+	return m.nextWitness(now)
 }
 
 // nextWitness moves the whole journal to the next candidate. What the caller has seen stays seen.
-func (m *Machine) nextWitness() []Command {
+func (m *Machine) nextWitness(now time.Time) []Command {
 	m.witness++
 	m.witnessOpened = false
 	m.finalSent = false
 	m.witnessed = 0
+	if m.Witness() == "" {
+		return m.findWitness(now)
+	}
 	return m.appendNext(nil)
 }
+
+// findWitness gets new candidates when all have been lost, as in a round of replacements. An answer that never ran is
+// refused; one that is under way looks on until the limit of no progress.
+func (m *Machine) findWitness(now time.Time) []Command {
+	if m.opts.MoreWitnesses != nil && m.started {
+		m.opts.Witnesses = m.opts.MoreWitnesses()
+		m.witness = 0
+	}
+	if m.Witness() != "" {
+		return m.appendNext(nil)
+	}
+	if !m.started || m.opts.MoreWitnesses == nil || now.Sub(m.revealedAt) > m.opts.Timeouts.NoProgress {
+		return m.end(fault.NoWitness, "no witness is left", nil)
+	}
+	return nil
+}
--- a/ctl/operator/client.go
+++ b/ctl/operator/client.go
@@ -70,7 +70,7 @@
 func (f Fleet) Behind(revision uint64) []string {
 	var out []string
 	for _, m := range f.Members {
-		if m.State != "gone" && m.State != "suspect" && m.Revision < revision {
+		if m.State == "live" && m.Revision < revision {
 			out = append(out, m.VM)
 		}
 	}
