--- a/agent/router/state.go
+++ b/agent/router/state.go
@@ -19,10 +19,6 @@
 // cadenceWeight is the share of a new sample in the running mean of the time between tokens, as a divisor.
 const cadenceWeight = 16
 
-// cadenceLifetime is the age after which the measured time between tokens is no longer reported. Without it, an upstream
-// that was slow once would get no work, and so could never show that it has recovered.
-const cadenceLifetime = 2 * time.Second
-
 // State is what all calls of the agent share. It is safe for concurrent use.
 type State struct {
 	clock  clockwork.Clock
@@ -134,11 +130,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.queue.State()
-	if s.clock.Since(s.tokenAt) > cadenceLifetime {
-		s.cadence = 0
-	}
+	cadence := choice.FadedCadence(s.cadence, s.clock.Since(s.tokenAt))
 	return choice.Load{
-		Running: st.Running, Queued: st.Waiting, QueuedTokens: st.Tokens, Slots: st.Slots, Cadence: s.cadence,
+		Running: st.Running, Queued: st.Waiting, QueuedTokens: st.Tokens, Slots: st.Slots, Cadence: cadence,
 	}
 }
 
--- a/bench/command/answers.go
+++ b/bench/command/answers.go
@@ -24,7 +24,7 @@
 func New(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name: "bilberrylug-bench", Usage: "drive load and check every answer", Writer: out,
-		Commands: []*cli.Command{answers(out)},
+		Commands: []*cli.Command{answers(out), policy(out)},
 	}
 }
 
--- /dev/null
+++ b/bench/command/policy.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"bilberrylug.dev/bench/load"
+	"bilberrylug.dev/bench/report"
+)
+
+// defaultSeed makes every run give the same figures.
+const defaultSeed = 20261204
+
+type experiment struct {
+	shape    load.Shape
+	policies []load.Policy
+}
+
+func experiments() []experiment {
+	baselines := []load.Policy{load.Predicted, load.NoReserve, load.LeastOutstanding, load.RoundRobin}
+	return []experiment{
+		{load.Crest(), baselines},
+		{load.ShortOnly(), []load.Policy{load.Predicted}},
+		{load.Stragglers(), baselines},
+		{load.Unslowed(), []load.Policy{load.Predicted}},
+		{load.Slowed(), baselines},
+		{load.Prefixes(), []load.Policy{load.Predicted, load.NoAffinity, load.LeastOutstanding}},
+	}
+}
+
+func policy(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "policy", Usage: "measure the choice of upstreams against baselines, in simulated time",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: defaultSeed, Usage: "seed of the load"},
+			&cli.StringFlag{Name: "results", Value: "results", Usage: "directory for the JSON result and the plots"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			var results []*load.Result
+			for _, d := range []load.Deployment{load.Mandi(), load.Fondazione()} {
+				for _, e := range experiments() {
+					for _, p := range e.policies {
+						results = append(results, load.Run(d, e.shape, p, c.Uint64("seed")))
+					}
+				}
+			}
+			report.Table(out, results)
+			if err := report.JSON(filepath.Join(c.String("results"), "policy.json"), results); err != nil {
+				return fmt.Errorf("result: %w", err)
+			}
+			return report.Plot(c.String("results"), results)
+		},
+	}
+}
--- /dev/null
+++ b/bench/load/result.go
@@ -0,0 +1,81 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	"bilberrylug.dev/agent/queue"
+)
+
+// Result is what callers saw in one run. Times are in milliseconds.
+type Result struct {
+	Deployment  string  `json:"deployment"`
+	Shape       string  `json:"shape"`
+	Policy      Policy  `json:"policy"`
+	Requests    int     `json:"requests"`
+	Refused     int     `json:"refused"`
+	Completed   int     `json:"completed"`
+	Moved       int     `json:"moved"`
+	FirstP50    float64 `json:"first_token_p50_ms"`
+	FirstP95    float64 `json:"first_token_p95_ms"`
+	FirstP99    float64 `json:"first_token_p99_ms"`
+	ShortP50    float64 `json:"short_p50_ms"`
+	ShortP99    float64 `json:"short_p99_ms"`
+	ShortFirst  float64 `json:"short_first_token_p99_ms"`
+	AllP99      float64 `json:"all_p99_ms"`
+	GapP95      float64 `json:"token_gap_p95_ms"`
+	InTime      int     `json:"first_token_in_500_ms"`
+	CacheHits   int     `json:"cache_hits"`
+	CacheMisses int     `json:"cache_misses"`
+
+	first      []time.Duration
+	shortFirst []time.Duration
+	short      []time.Duration
+	all        []time.Duration
+	gaps       []time.Duration
+}
+
+// firstTokenTarget is the target's time to the first token.
+const firstTokenTarget = 500 * time.Millisecond
+
+func (r *Result) noteFirst(j *job, d time.Duration) {
+	r.first = append(r.first, d)
+	if j.class == queue.Short {
+		r.shortFirst = append(r.shortFirst, d)
+	}
+	if d <= firstTokenTarget {
+		r.InTime++
+	}
+}
+
+func (r *Result) noteGap(d time.Duration, n int) {
+	for range n {
+		r.gaps = append(r.gaps, d)
+	}
+}
+
+func (r *Result) noteEnd(j *job, d time.Duration) {
+	r.Completed++
+	r.all = append(r.all, d)
+	if j.class == queue.Short {
+		r.short = append(r.short, d)
+	}
+}
+
+func (r *Result) finish() {
+	r.FirstP50, r.FirstP95, r.FirstP99 = Quantile(r.first, 0.5), Quantile(r.first, 0.95), Quantile(r.first, 0.99)
+	r.ShortP50, r.ShortP99 = Quantile(r.short, 0.5), Quantile(r.short, 0.99)
+	r.ShortFirst = Quantile(r.shortFirst, 0.99)
+	r.AllP99 = Quantile(r.all, 0.99)
+	r.GapP95 = Quantile(r.gaps, 0.95)
+}
+
+// Quantile returns a quantile in milliseconds; of an empty list it is zero.
+func Quantile(d []time.Duration, q float64) float64 {
+	if len(d) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(d))
+	at := min(int(q*float64(len(sorted))), len(sorted)-1)
+	return float64(sorted[at].Microseconds()) / 1000
+}
