--- /dev/null
+++ b/bench/slopes/slopes_test.go
@@ -0,0 +1,250 @@
+package slopes_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bilberrylug.dev/core/admission"
+	"bilberrylug.dev/core/convert"
+	"bilberrylug.dev/core/declared"
+	"bilberrylug.dev/core/generation"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/journal"
+	"bilberrylug.dev/core/ledger"
+	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/core/rendezvous"
+	"bilberrylug.dev/core/wire"
+)
+
+var start = time.Unix(0, 0)
+
+func member(i int) membership.Member {
+	return membership.Member{
+		VM: ids.VM(fmt.Sprintf("upstream-%04d", i)), Role: membership.Agent, Address: "10.20.30.40:9200", Region: "uttarbanga",
+		FailureDomain: "teesta-ghat", Service: "lug-pool", Incarnation: 1796358000000000000,
+		Models: []ids.Model{{Name: "lug-7b", Version: "2026-10"}},
+	}
+}
+
+func wireBytes(m proto.Message) int { return proto.Size(m) }
+
+// BenchmarkHeartbeat is one heartbeat as a router takes it, in a table of the given size.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, n := range []int{27, 300, 3580} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := membership.NewTable(member(0), membership.Timeouts{Silence: 3 * time.Second, Forget: time.Minute})
+			for i := range n {
+				t.Merge(start, []membership.Member{member(i)})
+			}
+			beat := &wire.ExchangeRequest{
+				Header: &wire.Header{Sender: "upstream-0001", Revision: 1000}, Role: "agent",
+				Members: []*wire.Member{convert.MemberToWire(member(1))}, Load: &wire.Load{Running: 8, QueuedTokens: 1000, Slots: 16, CadenceUs: 30000},
+				KnownEpoch: 1796358000000000000, KnownVersion: 5000,
+			}
+			body, _ := proto.Marshal(beat)
+			b.ReportMetric(float64(len(body)), "request_B")
+			b.ReportAllocs()
+			for b.Loop() {
+				var r wire.ExchangeRequest
+				if err := proto.Unmarshal(body, &r); err != nil {
+					b.Fatal(err)
+				}
+				t.Merge(start, convert.Each(r.GetMembers(), convert.MemberFromWire))
+				t.Heard(start, "upstream-0001", 1000)
+			}
+		})
+	}
+}
+
+// BenchmarkJudge is one look for silent members.
+func BenchmarkJudge(b *testing.B) {
+	for _, n := range []int{27, 300, 3580} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := membership.NewTable(member(0), membership.Timeouts{Silence: 3 * time.Second, Forget: time.Minute})
+			for i := range n {
+				t.Merge(start, []membership.Member{member(i)})
+			}
+			for b.Loop() {
+				t.Judge(start, func(ids.VM) bool { return true })
+			}
+		})
+	}
+}
+
+// BenchmarkExchangeIdle is what a router does to find that a peer lacks nothing.
+func BenchmarkExchangeIdle(b *testing.B) {
+	for _, n := range []int{27, 300, 3580} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := membership.NewTable(member(0), membership.Timeouts{})
+			for i := range n {
+				t.Merge(start, []membership.Member{member(i)})
+			}
+			_, version := t.Since("peer")
+			t.Acknowledge("peer", version)
+			for b.Loop() {
+				t.Since("peer")
+			}
+		})
+	}
+}
+
+// BenchmarkExchangeNews is what a router does when one member changed.
+func BenchmarkExchangeNews(b *testing.B) {
+	for _, n := range []int{27, 300, 3580} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := membership.NewTable(member(0), membership.Timeouts{})
+			for i := range n {
+				t.Merge(start, []membership.Member{member(i)})
+			}
+			_, version := t.Since("peer")
+			t.Acknowledge("peer", version-1)
+			news, _ := t.Since("peer")
+			b.ReportMetric(float64(wireBytes(&wire.ExchangeRequest{Members: convert.Each(news, convert.MemberToWire)})), "news_B")
+			for b.Loop() {
+				t.Since("peer")
+			}
+		})
+	}
+}
+
+// BenchmarkWitnesses is the choice of the witnesses of one request.
+func BenchmarkWitnesses(b *testing.B) {
+	for _, n := range []int{27, 300, 3100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var vms []ids.VM
+			for i := range n {
+				vms = append(vms, member(i).VM)
+			}
+			for b.Loop() {
+				rendezvous.Top("growers/4f1c0a", vms, 6)
+			}
+		})
+	}
+}
+
+// BenchmarkToken is one token through the machine of its answer and the store of its witness, with the bytes that the
+// witness is sent when each entry carries the given number of tokens.
+func BenchmarkToken(b *testing.B) {
+	for _, batch := range []int{1, 8} {
+		b.Run(fmt.Sprintf("batch_%d", batch), func(b *testing.B) {
+			tokens := make([]string, batch)
+			for i := range tokens {
+				tokens[i] = " token"
+			}
+			store := journal.NewStore(journal.Limits{MaxBytes: 1 << 40, Idle: time.Hour, RetentionFinished: time.Hour})
+			now := start
+			var m *generation.Machine
+			var at uint32
+			reset := func() {
+				store.Expire(now.Add(2 * time.Hour))
+				m = generation.New(generation.Options{
+					Journal: journal.Journal{Key: ids.RequestKey{Workspace: "growers", Request: "4f1c0a"}}, Owner: "r", Witnesses: []ids.VM{"w"},
+					Timeouts: generation.Timeouts{Silence: time.Second, TokenGap: time.Second, MinTokenGap: time.Second, GapFactor: 40},
+				})
+				at = 0
+				answer(m, store, now, m.Start(now))
+			}
+			reset()
+			b.ReportAllocs()
+			for b.Loop() {
+				if at > 1000 {
+					reset()
+				}
+				answer(m, store, now, m.Handle(now, generation.TokensArrived{Attempt: 1, First: at, Tokens: tokens}))
+				at += uint32(batch)
+			}
+			entry := journal.Entry{Key: ids.RequestKey{Workspace: "growers", Request: "4f1c0a4f1c0a4f1c0a4f1c0a"}, Attempt: 1, Owner: "entry-001/18edc", First: 500, Tokens: tokens}
+			b.ReportMetric(float64(wireBytes(convert.EntryToWire(entry)))/float64(batch), "witness_B/token")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(batch), "ns/token")
+		})
+	}
+}
+
+// answer lets the witness take what the machine sends, until nothing more is sent.
+func answer(m *generation.Machine, store *journal.Store, now time.Time, cmds []generation.Command) {
+	for len(cmds) > 0 {
+		var next []generation.Command
+		for _, c := range cmds {
+			if a, ok := c.(generation.Append); ok {
+				length, refusal := store.Append(now, a.Entry)
+				next = append(next, m.Handle(now, generation.WitnessAnswered{Append: a.Number, Length: length, Refusal: refusal})...)
+			}
+		}
+		cmds = next
+	}
+}
+
+// BenchmarkGrant is one question to the home of a workspace, among the given number of workspaces.
+func BenchmarkGrant(b *testing.B) {
+	for _, n := range []int{10, 1000, 19000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			home := admission.NewHome()
+			now := start
+			request := &wire.GrantRequest{Header: &wire.Header{Sender: "entry-001", Revision: 1000}, Workspace: "workspace-12345", Want: 4, Running: 3}
+			b.ReportMetric(float64(wireBytes(request)), "request_B")
+			rng := rand.New(rand.NewPCG(1, 2))
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				home.Grant(now, ids.Workspace(fmt.Sprint(rng.IntN(n))), "entry-001", admission.Limit{RequestsPerSecond: 5, MaxRunning: 100}, 4, 3)
+			}
+		})
+	}
+}
+
+// BenchmarkChange is the cost of one change of configuration: the bytes of the head and of the changed chunk.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{10, 1000, 19000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			cfg := &declared.Config{Services: []declared.Service{{Name: "lug-pool", Kind: declared.ModelService}}}
+			for i := range n {
+				name := fmt.Sprintf("workspace-%05d", i)
+				cfg.Workspaces = append(cfg.Workspaces, declared.Workspace{
+					Name: ids.Workspace(name), KeyHash: declared.HashKey(name), Services: []ids.Service{"lug-pool"}, RequestsPerSecond: 5, MaxRunning: 10,
+				})
+			}
+			set, _ := cfg.Chunks()
+			old := (&declared.Head{}).Next(declared.Summary{Operator: "operator", ApplyID: "0123456789abcdef"}, set)
+			cfg.Workspaces[0].MaxRunning++
+			for b.Loop() {
+				set, _ = cfg.Chunks()
+			}
+			head, _ := json.Marshal(old.Next(declared.Summary{Operator: "operator", ApplyID: "0123456789abcdef"}, set))
+			changed := 0
+			for _, hash := range set.WorkspaceChunks {
+				changed = max(changed, len(set.Bodies[hash]))
+			}
+			all := 0
+			for _, body := range set.Bodies {
+				all += len(body)
+			}
+			b.ReportMetric(float64(len(head)), "head_B")
+			b.ReportMetric(float64(changed), "chunk_B")
+			b.ReportMetric(float64(all), "all_B")
+		})
+	}
+}
+
+// BenchmarkLedgerWrite is one write of a bucket that holds the given number of entries.
+func BenchmarkLedgerWrite(b *testing.B) {
+	for _, n := range []int{100, 1000, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			bucket, _ := ledger.Decode(nil)
+			limits := ledger.Limits{MaxEntries: 1 << 20, Retention: time.Hour}
+			for i := range n {
+				key := ledger.KeyOf("growers", "nilam-desk", fmt.Sprint(i))
+				bucket.Begin(start, limits, ledger.Start{Key: key, Call: "0123456789abcdef01234567", BodyHash: 1})
+				bucket.Finish(key, "0123456789abcdef01234567", ledger.Reply{Status: 200, ContentType: "application/json", Body: make([]byte, 60)})
+			}
+			var body []byte
+			for b.Loop() {
+				body, _ = bucket.Clone().Encode()
+			}
+			b.ReportMetric(float64(len(body)), "bucket_B")
+		})
+	}
+}
--- a/router/view/view.go
+++ b/router/view/view.go
@@ -126,15 +126,22 @@
 }
 
 // Witnesses lists the agents that may hold the journal of a request. With own set, they are those that this router
-// writes to: outside its failure domain as far as there are any.
+// writes to: first those outside its failure domain, and behind them any, since a witness nearby is better than none.
 func (v *View) Witnesses(key ids.RequestKey, own bool) []ids.VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	l := v.derived()
-	if own && len(l.otherDomains) > 0 {
-		return rendezvous.Top(key.String(), l.otherDomains, witnessCandidates)
+	all := rendezvous.Top(key.String(), l.agents, witnessCandidates)
+	if !own {
+		return all
 	}
-	return rendezvous.Top(key.String(), l.agents, witnessCandidates)
+	out := rendezvous.Top(key.String(), l.otherDomains, witnessCandidates)
+	for _, vm := range all {
+		if !slices.Contains(out, vm) {
+			out = append(out, vm)
+		}
+	}
+	return out
 }
 
 // Address returns the address of a member.
--- /dev/null
+++ b/router/view/view_test.go
@@ -0,0 +1,63 @@
+package view_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/router/view"
+)
+
+func TestView(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "view")
+}
+
+func newView(agents ...membership.Member) *view.View {
+	v := view.New(view.Options{
+		Self:   membership.Member{VM: "entry-1", Role: membership.Router, FailureDomain: "a", Region: "r"},
+		Config: inforce.New(false), Clock: clockwork.NewFakeClock(), Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	v.MergeNews(agents, func([]membership.Member) {})
+	return v
+}
+
+func agent(vm string, domain ids.FailureDomain) membership.Member {
+	return membership.Member{VM: ids.VM(vm), Role: membership.Agent, FailureDomain: domain, Region: "r", Incarnation: 1}
+}
+
+var _ = Describe("witnesses", func() {
+	It("stand outside the router's failure domain first, and nearby when no other is left", func() {
+		v := newView(agent("near-1", "a"), agent("near-2", "a"), agent("far-1", "b"))
+		for i := range 20 {
+			key := ids.RequestKey{Workspace: "w", Request: ids.Request(fmt.Sprint(i))}
+			got := v.Witnesses(key, true)
+			Expect(got).To(HaveLen(3))
+			Expect(got[0]).To(Equal(ids.VM("far-1")))
+		}
+	})
+	It("are found by a router of another failure domain, which asks the first few of all", func() {
+		var agents []membership.Member
+		for i := range 30 {
+			agents = append(agents, agent(fmt.Sprintf("u%d", i), ids.FailureDomain(fmt.Sprint(i%3))))
+		}
+		v := newView(agents...)
+		found := 0
+		for i := range 200 {
+			key := ids.RequestKey{Workspace: "w", Request: ids.Request(fmt.Sprint(i))}
+			for _, vm := range v.Witnesses(key, false) {
+				if vm == v.Witnesses(key, true)[0] {
+					found++
+				}
+			}
+		}
+		Expect(found).To(Equal(200))
+	})
+})
