--- a/agent/queue/item.go
+++ b/agent/queue/item.go
@@ -14,9 +14,16 @@
 	Deadline  time.Time
 	// Resumed marks work that was under way elsewhere; it goes before new work of its class.
 	Resumed bool
+	// Preemptible lets short work take the slot of this running item.
+	Preemptible bool
 
-	start chan struct{}
+	start     chan struct{}
+	preempt   chan struct{}
+	preempted bool
 }
 
+// Preempted returns a channel that is closed when the item has to give its slot back.
+func (i *Item) Preempted() <-chan struct{} { return i.preempt }
+
 // Started returns a channel that is closed when the item has its slot.
 func (i *Item) Started() <-chan struct{} { return i.start }
--- a/agent/queue/queue.go
+++ b/agent/queue/queue.go
@@ -23,7 +23,7 @@
 	turns   []ids.Workspace
 	waiting map[ids.Workspace][]*Item
 	resumed []*Item
-	running int
+	running []*Item
 }
 
 // Queue is the state of one upstream's slots. It is not safe for concurrent use.
@@ -55,6 +55,7 @@
 	}
 	i := &item
 	i.start = make(chan struct{})
+	i.preempt = make(chan struct{})
 	l := q.lanes[i.Class]
 	if i.Resumed {
 		l.resumed = append(l.resumed, i)
@@ -64,6 +65,7 @@
 	q.waiting++
 	q.waitingTokens += i.Tokens
 	q.dispatch()
+	q.preempt()
 	return i, nil
 }
 
@@ -95,13 +97,13 @@
 
 func (l *lane) empty() bool { return len(l.turns) == 0 && len(l.resumed) == 0 }
 
-func (q *Queue) running() int { return q.lanes[Short].running + q.lanes[Long].running }
+func (q *Queue) running() int { return len(q.lanes[Short].running) + len(q.lanes[Long].running) }
 
 func (q *Queue) slotFree(c Class) bool {
 	if q.running() >= q.limits.Slots {
 		return false
 	}
-	return c == Short || q.lanes[Long].running < q.limits.longSlots()
+	return c == Short || len(q.lanes[Long].running) < q.limits.longSlots()
 }
 
 // dispatch starts what has a free slot, short work first.
@@ -110,7 +112,7 @@
 		l := q.lanes[c]
 		for !l.empty() && q.slotFree(c) {
 			i := l.pop()
-			l.running++
+			l.running = append(l.running, i)
 			q.waiting--
 			q.waitingTokens -= i.Tokens
 			q.runningTokens += i.Tokens
@@ -119,11 +121,51 @@
 	}
 }
 
+// preempt asks running long work for the slots that waiting short work needs: the longest first, and never so many that
+// long work keeps less than its floor.
+func (q *Queue) preempt() {
+	leaving := 0
+	for _, i := range q.lanes[Long].running {
+		if i.preempted {
+			leaving++
+		}
+	}
+	for leaving < q.lanes[Short].length() && len(q.lanes[Long].running)-leaving > q.limits.longFloor() {
+		victim := q.victim()
+		if victim == nil {
+			return
+		}
+		victim.preempted = true
+		close(victim.preempt)
+		leaving++
+	}
+}
+
+func (q *Queue) victim() *Item {
+	var longest *Item
+	for _, i := range q.lanes[Long].running {
+		if i.Preemptible && !i.preempted && (longest == nil || i.Tokens > longest.Tokens) {
+			longest = i
+		}
+	}
+	return longest
+}
+
+// length returns the number of waiting items.
+func (l *lane) length() int {
+	n := len(l.resumed)
+	for _, items := range l.waiting {
+		n += len(items)
+	}
+	return n
+}
+
 // Done gives a slot back, or takes a waiting item out of the queue.
 func (q *Queue) Done(i *Item) {
 	select {
 	case <-i.start:
-		q.lanes[i.Class].running--
+		l := q.lanes[i.Class]
+		l.running = slices.DeleteFunc(l.running, func(one *Item) bool { return one == i })
 		q.runningTokens -= i.Tokens
 		q.dispatch()
 	default:
--- a/agent/router/generate.go
+++ b/agent/router/generate.go
@@ -23,7 +23,10 @@
 // engineCancelTimeout bounds the order to end a run that its router has given up.
 const engineCancelTimeout = time.Second
 
-var errEngineLost = errors.New("the engine does not answer")
+var (
+	errEngineLost = errors.New("the engine does not answer")
+	errPreempted  = errors.New("short work took the slot")
+)
 
 // Generate implements the drpc service: one attempt of one answer.
 func (s *Server) Generate(r *wire.GenerateRequest, stream wire.DRPCAgent_GenerateStream) error {
@@ -67,6 +70,14 @@
 	if !item.Wait(s.Clock.Now(), s.Clock.After, ctx.Done()) {
 		return s.notStarted(ctx, r)
 	}
+	side.Go(func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+		case <-item.Preempted():
+			s.Metrics.Counter("preemptions").Inc(1)
+			cancel(errPreempted)
+		}
+	})
 	return s.run(ctx, r, out)
 }
 
@@ -95,7 +106,8 @@
 	defer s.State.mu.Unlock()
 	return s.State.queue.Add(queue.Item{
 		Workspace: ids.Workspace(r.GetWorkspace()), Class: class, Tokens: uint64(left),
-		Deadline: s.Clock.Now().Add(svc.MaxQueueTime.Std()), Resumed: ids.Attempt(r.GetAttempt()) > 1,
+		Deadline: s.Clock.Now().Add(svc.MaxQueueTime.Std()), Resumed: len(r.GetPrefix()) > 0,
+		Preemptible: r.GetPreemptible(),
 	})
 }
 
@@ -137,7 +149,11 @@
 	if err != nil {
 		s.cancelRun(id)
 	}
-	if cause := context.Cause(ctx); err != nil && cause != nil {
+	cause := context.Cause(ctx)
+	if err != nil && errors.Is(cause, errPreempted) {
+		return fault.New(fault.Preempted, "attempt %d", r.GetAttempt())
+	}
+	if err != nil && cause != nil {
 		return fault.Wrap(fault.UpstreamLost, cause, "attempt %d", r.GetAttempt())
 	}
 	return err
@@ -157,7 +173,7 @@
 	return engine.Run{
 		Model: p.GetModel(), Version: p.GetVersion(), Adapter: p.GetAdapter(), Prompt: p.GetText(),
 		MaxTokens: p.GetMaxTokens(), Seed: p.GetSeed(), Temperature: p.GetTemperature(),
-		RequestID: id, Priority: int(r.GetClass()), ResumeTokens: r.GetPrefix(),
+		RequestID: id, ResumeTokens: r.GetPrefix(),
 	}
 }
 
--- a/bench/e2e/answers_test.go
+++ b/bench/e2e/answers_test.go
@@ -138,4 +138,22 @@
 		Eventually(outcomes, patience, "100ms").Should(HaveKeyWithValue("growers.gone-1.1", "cancelled"))
 		Expect(outcomes()).To(HaveKeyWithValue("growers.back-1.1", "finished"))
 	})
+
+	It("give their slots to short work, and come whole all the same", func() {
+		wait := s.streams(48, 400, "long")
+		time.Sleep(underWay)
+		short := s.streams(40, 30, "short")
+		expectWhole(short())
+		expectWhole(wait())
+		gave := 0
+		for i := range 4 {
+			for _, run := range s.engineRuns(i) {
+				if run.Outcome == "cancelled" {
+					gave++
+				}
+			}
+		}
+		Expect(gave).To(BeNumerically(">", 0))
+		AddReportEntry("runs that gave their slot", fmt.Sprint(gave))
+	})
 })
--- a/bench/load/result.go
+++ b/bench/load/result.go
@@ -16,6 +16,9 @@
 	Refused     int     `json:"refused"`
 	Completed   int     `json:"completed"`
 	Moved       int     `json:"moved"`
+	Preempted   int     `json:"preempted"`
+	LongP50     float64 `json:"long_p50_ms"`
+	LongP99     float64 `json:"long_p99_ms"`
 	FirstP50    float64 `json:"first_token_p50_ms"`
 	FirstP95    float64 `json:"first_token_p95_ms"`
 	FirstP99    float64 `json:"first_token_p99_ms"`
@@ -32,6 +35,7 @@
 	shortFirst []time.Duration
 	short      []time.Duration
 	all        []time.Duration
+	long       []time.Duration
 	gaps       []time.Duration
 }
 
@@ -59,13 +63,16 @@
 	r.all = append(r.all, d)
 	if j.class == queue.Short {
 		r.short = append(r.short, d)
+		return
 	}
+	r.long = append(r.long, d)
 }
 
 func (r *Result) finish() {
 	r.FirstP50, r.FirstP95, r.FirstP99 = Quantile(r.first, 0.5), Quantile(r.first, 0.95), Quantile(r.first, 0.99)
 	r.ShortP50, r.ShortP99 = Quantile(r.short, 0.5), Quantile(r.short, 0.99)
 	r.ShortFirst = Quantile(r.shortFirst, 0.99)
+	r.LongP50, r.LongP99 = Quantile(r.long, 0.5), Quantile(r.long, 0.99)
 	r.AllP99 = Quantile(r.all, 0.99)
 	r.GapP95 = Quantile(r.gaps, 0.95)
 }
--- a/bench/load/simulation.go
+++ b/bench/load/simulation.go
@@ -16,11 +16,13 @@
 	placementTries = 4
 	maxWaiting     = 64
 	reservedShort  = 0.25
+	retryPause     = 50 * time.Millisecond
 	reportEvery    = 200 * time.Millisecond
 	cacheEntries   = 24
 	cachedPrefill  = 4
 	cadenceWeight  = 16
 	moveAllowance  = 3
+	maxPreemptions = 2
 	moveDebt       = 1500 * time.Millisecond
 	// crowding is the share by which a full batch slows each of its streams.
 	crowding = 0.5
@@ -41,6 +43,8 @@
 	tried     []ids.VM
 	left      int
 	started   bool
+	runs      int
+	preempted int
 }
 
 // upstream is a simulated engine behind the real queue of its agent.
@@ -52,6 +56,7 @@
 	cadence time.Duration
 	tokenAt time.Time
 	waiting []*job
+	jobs    []*job
 	cache   []string
 	hits    int
 	misses  int
@@ -185,13 +190,23 @@
 func (s *simulation) place(j *job) {
 	vm, ok := s.choosers[j.router].pick(s.now, uint64(j.tokens), j.prefix, j.tried)
 	if !ok || len(j.tried) >= placementTries {
-		s.result.Refused++
+		s.refuse(j)
 		return
 	}
 	j.tried = append(j.tried, vm)
 	s.schedule(2*s.deployment.OneWay, func() { s.enqueue(j, s.upstreams[vm]) })
 }
 
+// refuse ends a new request; one that has run already looks on for a place.
+func (s *simulation) refuse(j *job) {
+	if j.runs == 0 {
+		s.result.Refused++
+		return
+	}
+	j.tried = nil
+	s.schedule(retryPause, func() { s.place(j) })
+}
+
 func (s *simulation) enqueue(j *job, u *upstream) {
 	class := j.class
 	if s.policy == RoundRobin || s.policy == LeastOutstanding || s.policy == NoReserve {
@@ -201,7 +216,10 @@
 	if class != j.class {
 		workspace = "all"
 	}
-	item, err := u.queue.Add(queue.Item{Workspace: workspace, Class: class, Tokens: uint64(j.tokens), Deadline: j.deadline})
+	item, err := u.queue.Add(queue.Item{
+		Workspace: workspace, Class: class, Tokens: uint64(j.left), Deadline: j.deadline, Resumed: j.runs > 0,
+		Preemptible: s.policy == Predicted && j.preempted < maxPreemptions,
+	})
 	if err != nil {
 		s.choosers[j.router].ended(u.vm)
 		s.place(j)
@@ -211,11 +229,40 @@
 	u.waiting = append(u.waiting, j)
 	s.schedule(j.deadline.Sub(s.now), func() { s.expire(j) })
 	s.startWaiting(u)
+	s.preempt(u)
+}
+
+// preempt ends the runs that have to give their slots to short work, and places their rest anew.
+func (s *simulation) preempt(u *upstream) {
+	for _, j := range slices.Clone(u.jobs) {
+		select {
+		case <-j.item.Preempted():
+			j.preempted++
+			s.result.Preempted++
+			s.leave(j)
+			j.tried = nil
+			s.place(j)
+		default:
+		}
+	}
+}
+
+// leave ends a run that is continued elsewhere.
+func (s *simulation) leave(j *job) {
+	u := j.upstream
+	u.jobs = slices.DeleteFunc(u.jobs, func(one *job) bool { return one == j })
+	u.running--
+	u.queue.Done(j.item)
+	s.choosers[j.router].ended(u.vm)
+	j.started = false
+	j.runs++
+	j.deadline = s.now.Add(s.shape.Span)
+	s.startWaiting(u)
 }
 
 // expire refuses a job that has not started by its deadline.
 func (s *simulation) expire(j *job) {
-	if j.started {
+	if j.started || j.runs > 0 {
 		return
 	}
 	u := j.upstream
@@ -233,7 +280,9 @@
 		case <-j.item.Started():
 			j.started = true
 			u.running++
-			s.schedule(s.prefill(u, j), func() { s.token(j) })
+			u.jobs = append(u.jobs, j)
+			run := j.runs
+			s.schedule(s.prefill(u, j), func() { s.token(j, run) })
 			return true
 		default:
 			return false
@@ -271,7 +320,10 @@
 const stepTokens = 10
 
 // token gives the next tokens of a job, or ends it.
-func (s *simulation) token(j *job) {
+func (s *simulation) token(j *job, run int) {
+	if j.runs != run {
+		return
+	}
 	u := j.upstream
 	if j.first.IsZero() {
 		j.first = s.now
@@ -293,11 +345,11 @@
 	}
 	u.tokenAt = s.now
 	if s.moves(gap) {
-		s.move(j, gap)
+		s.move(j, run, gap)
 		return
 	}
 	s.result.noteGap(gap, step)
-	s.schedule(gap*time.Duration(step), func() { s.token(j) })
+	s.schedule(gap*time.Duration(step), func() { s.token(j, run) })
 }
 
 // moves tells whether an answer at this pace is moved elsewhere, as package generation decides it.
@@ -307,26 +359,24 @@
 
 // move takes an answer away from a slow upstream when its debt is reached: it keeps the tokens that came meanwhile and
 // pays for the prefill at the next one.
-func (s *simulation) move(j *job, gap time.Duration) {
+func (s *simulation) move(j *job, run int, gap time.Duration) {
 	allowed := moveAllowance * s.deployment.Cadence
 	debtReached := time.Duration(float64(moveDebt) * float64(gap) / float64(gap-allowed))
 	j.left = max(0, j.left+stepTokens-int(debtReached/gap))
 	s.result.Moved++
 	s.schedule(debtReached, func() {
-		u := j.upstream
-		u.running--
-		u.queue.Done(j.item)
-		s.choosers[j.router].ended(u.vm)
-		s.startWaiting(u)
-		j.started = false
-		j.deadline = s.now.Add(s.shape.Span)
-		j.tried = []ids.VM{u.vm}
+		if j.runs != run {
+			return
+		}
+		s.leave(j)
+		j.tried = []ids.VM{j.upstream.vm}
 		s.place(j)
 	})
 }
 
 func (s *simulation) end(j *job) {
 	u := j.upstream
+	u.jobs = slices.DeleteFunc(u.jobs, func(one *job) bool { return one == j })
 	u.running--
 	u.queue.Done(j.item)
 	s.choosers[j.router].ended(u.vm)
--- a/core/fault/catalogue.go
+++ b/core/fault/catalogue.go
@@ -32,6 +32,7 @@
 	{UpstreamLost, "BL1301", http.StatusBadGateway, Partial, 0, true, "The upstream was lost while it worked.", "The router resumes elsewhere; no action is needed."},
 	{ResumeExhausted, "BL1302", http.StatusBadGateway, Partial, time.Second, false, "The answer could not be continued within its limits.", "Send the request again with its Last-Event-ID."},
 	{Superseded, "BL1303", http.StatusConflict, Partial, 0, false, "Another router has taken the answer over.", "Read the answer from the newer connection."},
+	{Preempted, "BL1304", http.StatusServiceUnavailable, Partial, 0, true, "The run gave its slot to short work.", "The router continues the answer elsewhere; no action is needed."},
 	{StaleFence, "BL1401", http.StatusConflict, NotRun, 0, false, "The order carries an older fencing number than one seen before.", "The holder has lost its lease; the new holder gives the order again."},
 	{FenceUnknown, "BL1402", http.StatusServiceUnavailable, NotRun, time.Second, true, "The current fencing number is not known yet.", "The order is given again when the platform's service answers."},
 	{StoreUnavailable, "BL1403", http.StatusServiceUnavailable, OutcomeUnknown, time.Second, true, "The platform's service did not answer.", "Try again; read back before repeating a write."},
--- a/core/fault/code.go
+++ b/core/fault/code.go
@@ -30,6 +30,7 @@
 	UpstreamLost       Code = "upstream_lost"
 	ResumeExhausted    Code = "resume_exhausted"
 	Superseded         Code = "superseded"
+	Preempted          Code = "preempted"
 	StaleFence         Code = "stale_fence"
 	FenceUnknown       Code = "fence_unknown"
 	StoreUnavailable   Code = "store_unavailable"
--- a/core/generation/command.go
+++ b/core/generation/command.go
@@ -14,6 +14,8 @@
 	Attempt   ids.Attempt
 	Prefix    uint32
 	AfterLoss bool
+	// Preemptible lets short work take the slot of the run.
+	Preemptible bool
 }
 
 // CancelAttempt asks to end a run.
--- a/core/generation/machine.go
+++ b/core/generation/machine.go
@@ -66,11 +66,16 @@
 	callerGone   bool
 	callerLeftAt time.Time
 
+	preemptions int
+
 	// Resumed counts the attempts after the first, Late the words of older attempts that were dropped.
 	Resumed int
 	Late    int
 }
 
+// maxPreemptions is the number of times that one answer gives its slot to short work.
+const maxPreemptions = 2
+
 // retryPause is the time between two tries to place an attempt.
 const retryPause = 50 * time.Millisecond
 
@@ -149,7 +154,7 @@
 	m.running = true
 	m.lastWord = now
 	m.pace.begin()
-	return append(cmds, StartAttempt{m.attempt, uint32(len(m.tokens)), afterLoss})
+	return append(cmds, StartAttempt{m.attempt, uint32(len(m.tokens)), afterLoss, m.preemptions < maxPreemptions})
 }
 
 func (m *Machine) alive(now time.Time, a ids.Attempt) {
@@ -203,15 +208,24 @@
 		return nil
 	}
 	kind := fault.KindOf(e.Code)
-	if !kind.Retryable && e.Code != fault.NoUpstream {
+	if kind.Claim == fault.NotRun && (kind.Retryable || mayComeFree(e.Code)) {
+		return m.retryPlacement(now, e)
+	}
+	if !kind.Retryable {
 		return m.end(e.Code, e.Detail, nil)
 	}
-	if kind.Claim == fault.NotRun {
-		return m.retryPlacement(now, e)
+	if e.Code == fault.Preempted {
+		m.preemptions++
+		m.mayHaveRun = true
+		m.attempt++
+		return m.begin(now, nil, false)
 	}
 	return m.lose(now, e.Code, e.Detail)
 }
 
+// mayComeFree tells whether a place that could not be had now may be had later.
+func mayComeFree(c fault.Code) bool { return c == fault.NoUpstream || c == fault.DeadlineExceeded }
+
 // retryPlacement tries again after a pause, since nothing ran. An answer that never ran is refused at once; one that is
 // under way waits for the limit of no progress.
 func (m *Machine) retryPlacement(now time.Time, e AttemptFailed) []Command {
--- a/core/generation/machine_test.go
+++ b/core/generation/machine_test.go
@@ -75,7 +75,7 @@
 		now = now.Add(900 * time.Millisecond)
 		Expect(m.Handle(now, generation.Tick{})).To(BeEmpty())
 		now = now.Add(200 * time.Millisecond)
-		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.StartAttempt{Attempt: 2, AfterLoss: true}))
+		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.StartAttempt{Attempt: 2, AfterLoss: true, Preemptible: true}))
 	})
 	It("resumes an engine that stopped giving tokens after at most 2.5 s, also while its agent is alive", func() {
 		m.Handle(now, opened)
@@ -84,7 +84,7 @@
 			now = now.Add(100 * time.Millisecond)
 			m.Handle(now, generation.AttemptAlive{Attempt: 1})
 		}
-		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.StartAttempt{Attempt: 2, Prefix: 1, AfterLoss: true}))
+		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(generation.StartAttempt{Attempt: 2, Prefix: 1, AfterLoss: true, Preemptible: true}))
 	})
 	It("looks for new witnesses when all that it knew have been lost, and shows nothing meanwhile", func() {
 		candidates := []ids.VM{}
@@ -130,6 +130,23 @@
 		Expect(now.Sub(began)).To(BeNumerically("<=", 2700*time.Millisecond))
 		Expect(give(50, 900*time.Millisecond)).To(BeEmpty())
 	})
+	It("gives its slot to short work twice at the most, without counting it as a loss", func() {
+		m.Handle(now, opened)
+		m.Handle(now, token(1, 0, "a"))
+		for a := ids.Attempt(1); a <= 3; a++ {
+			cmds := m.Handle(now, generation.AttemptFailed{Attempt: a, Code: fault.Preempted})
+			Expect(cmds).To(ConsistOf(generation.StartAttempt{Attempt: a + 1, Prefix: 1, Preemptible: a < 2}))
+		}
+		Expect(m.Resumed).To(BeZero())
+	})
+	It("waits for a place again when a queue's deadline passes for an answer that is under way", func() {
+		m.Handle(now, opened)
+		m.Handle(now, token(1, 0, "a"))
+		m.Handle(now, generation.AttemptFailed{Attempt: 1, Code: fault.Preempted})
+		Expect(m.Handle(now, generation.AttemptFailed{Attempt: 2, Code: fault.DeadlineExceeded})).To(BeEmpty())
+		now = now.Add(time.Second)
+		Expect(m.Handle(now, generation.Tick{})).To(ContainElement(BeAssignableToTypeOf(generation.StartAttempt{})))
+	})
 	It("ends with resume_exhausted, never with a claim of not run, once work may have run", func() {
 		m.Handle(now, opened)
 		m.Handle(now, token(1, 0, "a"))
--- a/router/agent/attempt.go
+++ b/router/agent/attempt.go
@@ -29,6 +29,8 @@
 	Prompt  journal.Prompt
 	Prefix  []string
 	Avoid   []ids.VM
+	// Preemptible lets short work take the slot of the run.
+	Preemptible bool
 	// Placed is told which upstream takes the run.
 	Placed func(vm ids.VM)
 }
@@ -91,6 +93,7 @@
 	stream, err := wire.NewDRPCAgentClient(conn).Generate(ctx, &wire.GenerateRequest{
 		Header: l.header(), Workspace: string(a.Key.Workspace), RequestId: string(a.Key.Request),
 		Attempt: uint32(a.Attempt), Prompt: convert.PromptToWire(a.Prompt), Prefix: a.Prefix,
+		Preemptible: a.Preemptible,
 	})
 	if err != nil {
 		return sendFault(err, fault.UpstreamLost)
--- a/router/answer/answer.go
+++ b/router/answer/answer.go
@@ -176,6 +176,7 @@
 	ctx, a.stopAttempt = context.WithCancel(ctx)
 	attempt := agent.Attempt{
 		Key: a.key, Attempt: c.Attempt, Prompt: a.prompt, Prefix: a.machine.Tokens()[:c.Prefix:c.Prefix], Placed: a.placed,
+		Preemptible: c.Preemptible,
 	}
 	if c.AfterLoss {
 		a.lossAt = a.clock.Now()
