--- a/agent/router/heartbeat.go
+++ b/agent/router/heartbeat.go
@@ -35,9 +35,11 @@
 	avoid  map[string]time.Time
 }
 
+// peerVersion is what this agent has of a router, and the router of this agent.
 type peerVersion struct {
-	epoch   uint64
-	version uint64
+	epoch       uint64
+	version     uint64
+	incarnation uint64
 }
 
 // NewHeartbeat returns a heartbeat that begins with the seeds.
@@ -72,9 +74,10 @@
 }
 
 type beatResult struct {
-	address string
-	reply   *wire.ExchangeReply
-	err     error
+	address     string
+	incarnation uint64
+	reply       *wire.ExchangeReply
+	err         error
 }
 
 func (h *Heartbeat) beat(ctx context.Context) {
@@ -85,8 +88,9 @@
 	for _, address := range targets {
 		known := h.known[address]
 		g.Go(func(ctx context.Context) {
-			reply, err := h.exchange(ctx, address, known)
-			results <- beatResult{address, reply, err}
+			self := h.state.Self()
+			reply, err := h.exchange(ctx, address, self, known)
+			results <- beatResult{address, self.Incarnation, reply, err}
 		})
 	}
 	for range targets {
@@ -117,17 +121,20 @@
 	return out
 }
 
-func (h *Heartbeat) exchange(ctx context.Context, address string, known peerVersion) (*wire.ExchangeReply, error) {
+// exchange sends one heartbeat. What the agent is goes along only when the router lacks it.
+func (h *Heartbeat) exchange(ctx context.Context, address string, self membership.Member, known peerVersion) (*wire.ExchangeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	self := h.state.Self()
 	conn := h.dialer.Conn(address)
 	defer func() { _ = conn.Close() }()
-	return wire.NewDRPCRouterClient(conn).Exchange(ctx, &wire.ExchangeRequest{
-		Header: &wire.Header{Sender: string(self.VM), Revision: uint64(h.config.Revision())},
-		Role:   string(self.Role), Members: []*wire.Member{convert.MemberToWire(self)},
+	r := &wire.ExchangeRequest{
+		Header: &wire.Header{Sender: string(self.VM), Revision: uint64(h.config.Revision())}, Role: string(self.Role),
 		Load: convert.LoadToWire(h.state.Load()), KnownEpoch: known.epoch, KnownVersion: known.version,
-	})
+	}
+	if known.incarnation != self.Incarnation {
+		r.Members = []*wire.Member{convert.MemberToWire(self)}
+	}
+	return wire.NewDRPCRouterClient(conn).Exchange(ctx, r)
 }
 
 // take merges a reply. A router that did not answer is passed over for a while, and another one hears the agent.
@@ -136,10 +143,16 @@
 	if r.err != nil {
 		h.log.Write(event.ExchangeFailed, "address", r.address, "error", r.err.Error())
 		h.avoid[r.address] = now.Add(avoidTime)
+		delete(h.known, r.address)
 		return
 	}
 	delete(h.avoid, r.address)
-	h.known[r.address] = peerVersion{r.reply.GetEpoch(), r.reply.GetVersion()}
+	known := peerVersion{r.reply.GetEpoch(), r.reply.GetVersion(), r.incarnation}
+	if known.epoch != h.known[r.address].epoch {
+		// The router was started anew, or this is the first word; it may not have kept what went along.
+		known.incarnation = 0
+	}
+	h.known[r.address] = known
 	h.state.mu.Lock()
 	h.state.table.Merge(now, convert.Each(r.reply.GetMembers(), convert.MemberFromWire))
 	h.state.adoptLeaving()
--- a/core/inforce/fetch.go
+++ b/core/inforce/fetch.go
@@ -54,9 +54,9 @@
 		return reply, nil
 	}
 	head := *current.Head
+	head.History = nil
 	if r.GetServicesOnly() {
 		head.WorkspaceChunks = nil
-		head.History = nil
 	}
 	body, err := json.Marshal(head)
 	if err != nil {
