--- /dev/null
+++ b/agent/router/server_test.go
@@ -0,0 +1,136 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberrylug.dev/agent/engine"
+	"bilberrylug.dev/agent/plain"
+	"bilberrylug.dev/agent/router"
+	"bilberrylug.dev/agent/upstream"
+	"bilberrylug.dev/core/book"
+	"bilberrylug.dev/core/declared"
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/core/metric"
+	"bilberrylug.dev/core/platform"
+	"bilberrylug.dev/core/platform/platformtest"
+	"bilberrylug.dev/core/wire"
+)
+
+func TestRouter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "agent's service for routers")
+}
+
+// backend is an engine and a plain service that log what reaches them.
+type backend struct {
+	mu    sync.Mutex
+	calls []string
+}
+
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.URL.Path == "/v1/models" {
+		_ = json.NewEncoder(w).Encode([]any{})
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	b.calls = append(b.calls, r.URL.Path+" "+string(body))
+}
+
+func (b *backend) seen() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.calls...)
+}
+
+var _ = Describe("an agent", func() {
+	var (
+		store *platformtest.Store
+		clock *clockwork.FakeClock
+		back  *backend
+		s     *router.Server
+		state *router.State
+		ctx   context.Context
+	)
+	BeforeEach(func() {
+		ctx = GinkgoTB().Context()
+		store, clock, back = platformtest.New(), clockwork.NewFakeClock(), &backend{}
+		server := httptest.NewServer(back)
+		DeferCleanup(server.Close)
+		g := group.New(ctx)
+		DeferCleanup(g.Stop)
+		config := inforce.New(true)
+		cfg := &declared.Config{Services: []declared.Service{{
+			Name: "desk", Kind: declared.PlainService, LedgerBuckets: 1, LedgerBucketEntries: 10, CallTimeout: declared.Duration(time.Second),
+			LedgerRetention: declared.Duration(time.Hour),
+		}}}
+		set, err := cfg.Chunks()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = config.Accept((&declared.Head{}).Next(declared.Summary{}, set), set.Bodies)
+		Expect(err).NotTo(HaveOccurred())
+		log := event.New(io.Discard, slog.LevelError, "t")
+		state = router.NewState(membership.Member{VM: "u1", Service: "desk"}, config, clock)
+		s = router.New(router.Options{
+			State: state, Config: config, Engine: engine.New(server.URL), Plain: plain.New(server.URL), Store: store,
+			Health: upstream.New(server.URL, clock, log), Book: book.New(store, clock, log, g), Clock: clock, Log: log, Metrics: metric.New(),
+		})
+	})
+	order := func(fence uint64) fault.Code {
+		reply, err := s.Order(ctx, &wire.OrderRequest{Fence: fence, Action: "load", Model: "lug-7b", Version: "2"})
+		Expect(err).NotTo(HaveOccurred())
+		return fault.Code(reply.GetFault().GetCode())
+	}
+	call := func(revision uint64, key, id string) *wire.CallReply {
+		reply, err := s.Call(ctx, &wire.CallRequest{
+			Header: &wire.Header{Revision: revision}, Workspace: "w", Service: "desk", Method: "POST", Path: "/slips", Body: []byte("lot 7"),
+			IdempotencyKey: key, CallId: id, TimeoutMs: 5000,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		return reply
+	}
+
+	It("that has just started takes no order before it knows the current fencing number", func() {
+		store.SetOutage(true)
+		Expect(order(99)).To(Equal(fault.FenceUnknown))
+		store.SetOutage(false)
+		_, _, _ = store.Acquire(ctx, platform.OrderLeaseKey, nil, "old holder")
+		current, _, _ := store.Acquire(ctx, platform.OrderLeaseKey, nil, "new holder")
+		Expect(order(current.Index - 1)).To(Equal(fault.StaleFence))
+		Expect(order(current.Index)).To(BeEmpty())
+		Expect(order(current.Index + 1)).To(BeEmpty())
+		Expect(order(current.Index)).To(Equal(fault.StaleFence))
+		Expect(back.seen()).To(HaveLen(2))
+	})
+	It("that was paused between intent and sending withdraws instead of sending late", func() {
+		var once sync.Once
+		store.BeforeSwap(func(string) { once.Do(func() { clock.Advance(3 * time.Second) }) })
+		reply := call(1, "slip", "call-1")
+		Expect(reply.GetFault().GetCode()).To(Equal(string(fault.CallCancelled)))
+		Expect(back.seen()).To(BeEmpty())
+		Eventually(func() uint32 { return call(1, "slip", "call-2").GetStatus() }).Should(Equal(uint32(200)))
+		Expect(back.seen()).To(HaveLen(1))
+	})
+	It("refuses work under rules older than its own, and all new work once it is leaving", func() {
+		Expect(call(0, "a", "1").GetFault().GetCode()).To(Equal(string(fault.StaleRevision)))
+		state.Leave()
+		Expect(call(1, "a", "2").GetFault().GetCode()).To(Equal(string(fault.UpstreamLeaving)))
+		Expect(back.seen()).To(BeEmpty())
+	})
+})
--- a/bench/load/simulation.go
+++ b/bench/load/simulation.go
@@ -23,7 +23,7 @@
 	cadenceWeight  = 16
 	moveAllowance  = 3
 	maxPreemptions = 2
-	moveDebt       = 1500 * time.Millisecond
+	moveDebt       = 500 * time.Millisecond
 	// crowding is the share by which a full batch slows each of its streams.
 	crowding = 0.5
 )
--- /dev/null
+++ b/bench/slopes/spread_test.go
@@ -0,0 +1,167 @@
+package slopes_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/core/declared"
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/link"
+	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/core/settings"
+	"bilberrylug.dev/router/peer"
+	"bilberrylug.dev/router/view"
+)
+
+// lightRouter is the part of a router that spreads members and configurations.
+type lightRouter struct {
+	view     *view.View
+	config   *inforce.Holder
+	exchange *peer.Exchange
+}
+
+func startRouter(b *testing.B, g *group.Group, i int, seeds []string) (*lightRouter, string) {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(g.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	address := listener.Addr().String()
+	clock := clockwork.NewRealClock()
+	r := &lightRouter{config: inforce.New(false)}
+	vm := ids.VM(fmt.Sprintf("entry-%03d", i))
+	r.view = view.New(view.Options{
+		Self:   membership.Member{VM: vm, Role: membership.Router, Address: address, Region: "r", FailureDomain: "d", Incarnation: 1},
+		Config: r.config, Clock: clock, Rand: rand.New(rand.NewPCG(uint64(i), 2)),
+	})
+	dialer, _ := link.NewDialer(settings.TLS{})
+	o := peer.Options{
+		View: r.view, Config: r.config, Dialer: dialer, Seeds: seeds, Grants: peer.NewGrants(r.view, r.config, dialer, clock),
+		Clock: clock, Log: event.New(io.Discard, slog.LevelError, "b"), Epoch: uint64(i + 1), Changed: func() { r.exchange.Nudge() },
+		Newer: func(from string) {
+			g.Go(func(ctx context.Context) {
+				if changed, _ := peer.Fetch(ctx, dialer, from, r.config, vm); changed {
+					r.exchange.Nudge()
+				}
+			})
+		},
+	}
+	server := peer.NewServer(o)
+	r.exchange = peer.NewExchange(o)
+	g.Go(func(ctx context.Context) { _ = link.Serve(ctx, listener, settings.TLS{}, server.Register) })
+	g.Go(r.exchange.Run)
+	return r, address
+}
+
+// BenchmarkSpread is the time from a revision's arrival at one router until it is in force on all, in one process over
+// loopback connections.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{10, 40, 160} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := group.New(b.Context())
+			defer g.Stop()
+			var routers []*lightRouter
+			var seeds []string
+			for i := range n {
+				r, address := startRouter(b, g, i, seeds[:min(len(seeds), 3)])
+				routers = append(routers, r)
+				seeds = append(seeds, address)
+			}
+			await(func() bool { return all(routers, func(r *lightRouter) bool { return len(r.view.Routers()) == n }) })
+			set, _ := (&declared.Config{Services: []declared.Service{{Name: "lug-pool", Kind: declared.ModelService}}}).Chunks()
+			head := &declared.Head{}
+			var longest time.Duration
+			for b.Loop() {
+				head = head.Next(declared.Summary{}, set)
+				began := time.Now()
+				_, _ = routers[0].config.Accept(head, set.Bodies)
+				routers[0].exchange.Nudge()
+				await(func() bool {
+					return all(routers, func(r *lightRouter) bool { return r.config.Revision() == head.Revision })
+				})
+				longest = max(longest, time.Since(began))
+			}
+			b.ReportMetric(float64(longest.Milliseconds()), "longest_ms")
+		})
+	}
+}
+
+func await(done func() bool) {
+	for !done() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func all(routers []*lightRouter, ok func(*lightRouter) bool) bool {
+	for _, r := range routers {
+		if !ok(r) {
+			return false
+		}
+	}
+	return true
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkFootprint is the memory of a router's table and of its configuration.
+func BenchmarkFootprint(b *testing.B) {
+	for _, n := range []int{300, 3580} {
+		b.Run(fmt.Sprintf("members_%d", n), func(b *testing.B) {
+			before := heap()
+			t := membership.NewTable(member(0), membership.Timeouts{})
+			for i := range n {
+				t.Merge(start, []membership.Member{member(i)})
+			}
+			for b.Loop() {
+				t.Since("peer")
+			}
+			b.ReportMetric(float64(heap()-before), "heap_B")
+			runtime.KeepAlive(t)
+		})
+	}
+	for _, n := range []int{1000, 19000} {
+		b.Run(fmt.Sprintf("workspaces_%d", n), func(b *testing.B) {
+			cfg := &declared.Config{}
+			for i := range n {
+				name := fmt.Sprintf("workspace-%05d", i)
+				cfg.Workspaces = append(cfg.Workspaces, declared.Workspace{Name: ids.Workspace(name), KeyHash: declared.HashKey(name), Services: []ids.Service{"lug-pool"}})
+			}
+			set, _ := cfg.Chunks()
+			head := (&declared.Head{}).Next(declared.Summary{}, set)
+			before := heap()
+			h := inforce.New(false)
+			_, _ = h.Accept(head, set.Bodies)
+			for b.Loop() {
+				h.Revision()
+			}
+			b.ReportMetric(float64(heap()-before), "heap_B")
+			b.ReportMetric(float64(totalBytes(set)), "chunks_B")
+			runtime.KeepAlive(h)
+		})
+	}
+}
+
+func totalBytes(set declared.ChunkSet) int {
+	n := 0
+	for _, body := range set.Bodies {
+		n += len(body)
+	}
+	return n
+}
--- a/router/answer/registry.go
+++ b/router/answer/registry.go
@@ -26,7 +26,7 @@
 	gapFactor   = 40
 	noProgress  = 20 * time.Second
 	maxResumes  = 16
-	slowDebt    = 1500 * time.Millisecond
+	slowDebt    = 500 * time.Millisecond
 	// movesPerSecond and moveBurst bound the answers that a router moves away from slow upstreams, so that a general
 	// slowness does not become a storm of moves.
 	movesPerSecond = 4
--- a/router/view/view.go
+++ b/router/view/view.go
@@ -131,12 +131,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	l := v.derived()
-	all := rendezvous.Top(key.String(), l.agents, witnessCandidates)
 	if !own {
-		return all
+		return rendezvous.Top(key.String(), l.agents, witnessCandidates)
 	}
 	out := rendezvous.Top(key.String(), l.otherDomains, witnessCandidates)
-	for _, vm := range all {
+	if len(out) == witnessCandidates {
+		return out
+	}
+	for _, vm := range rendezvous.Top(key.String(), l.agents, witnessCandidates) {
 		if !slices.Contains(out, vm) {
 			out = append(out, vm)
 		}
