--- a/bench/slopes/slopes_test.go
+++ b/bench/slopes/slopes_test.go
@@ -34,12 +34,15 @@
 	"bilberrylug.dev/router/view"
 )
 
+// service is the model service of all measured members.
+const service = "lug-pool"
+
 var start = time.Unix(0, 0)
 
 func member(i int) membership.Member {
 	return membership.Member{
 		VM: ids.VM(fmt.Sprintf("upstream-%04d", i)), Role: membership.Agent, Address: "10.20.30.40:9200", Region: "uttarbanga",
-		FailureDomain: "teesta-ghat", Service: "lug-pool", Incarnation: 1796358000000000000,
+		FailureDomain: "teesta-ghat", Service: service, Incarnation: 1796358000000000000,
 		Models: []ids.Model{{Name: "lug-7b", Version: "2026-10"}},
 	}
 }
@@ -213,11 +216,11 @@
 func BenchmarkChange(b *testing.B) {
 	for _, n := range []int{10, 1000, 19000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			cfg := &declared.Config{Services: []declared.Service{{Name: "lug-pool", Kind: declared.ModelService}}}
+			cfg := &declared.Config{Services: []declared.Service{{Name: service, Kind: declared.ModelService}}}
 			for i := range n {
 				name := fmt.Sprintf("workspace-%05d", i)
 				cfg.Workspaces = append(cfg.Workspaces, declared.Workspace{
-					Name: ids.Workspace(name), KeyHash: declared.HashKey(name), Services: []ids.Service{"lug-pool"}, RequestsPerSecond: 5, MaxRunning: 10,
+					Name: ids.Workspace(name), KeyHash: declared.HashKey(name), Services: []ids.Service{service}, RequestsPerSecond: 5, MaxRunning: 10,
 				})
 			}
 			set, _ := cfg.Chunks()
--- a/bench/slopes/spread_test.go
+++ b/bench/slopes/spread_test.go
@@ -80,7 +80,7 @@
 				seeds = append(seeds, address)
 			}
 			await(func() bool { return all(routers, func(r *lightRouter) bool { return len(r.view.Routers()) == n }) })
-			set, _ := (&declared.Config{Services: []declared.Service{{Name: "lug-pool", Kind: declared.ModelService}}}).Chunks()
+			set, _ := (&declared.Config{Services: []declared.Service{{Name: service, Kind: declared.ModelService}}}).Chunks()
 			head := &declared.Head{}
 			var longest time.Duration
 			for b.Loop() {
@@ -141,7 +141,7 @@
 			cfg := &declared.Config{}
 			for i := range n {
 				name := fmt.Sprintf("workspace-%05d", i)
-				cfg.Workspaces = append(cfg.Workspaces, declared.Workspace{Name: ids.Workspace(name), KeyHash: declared.HashKey(name), Services: []ids.Service{"lug-pool"}})
+				cfg.Workspaces = append(cfg.Workspaces, declared.Workspace{Name: ids.Workspace(name), KeyHash: declared.HashKey(name), Services: []ids.Service{service}})
 			}
 			set, _ := cfg.Chunks()
 			head := (&declared.Head{}).Next(declared.Summary{}, set)
