--- a/agent/router/generate.go
+++ b/agent/router/generate.go
@@ -126,18 +126,11 @@
 }
 
 func (s *Server) keepAlive(ctx context.Context, out *attemptStream) {
-	ticker := s.Clock.NewTicker(keepaliveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
+	group.Every(ctx, s.Clock, keepaliveInterval, func() {
 		if s.Health.Healthy() {
 			_ = out.alive()
 		}
-	}
+	})
 }
 
 // run passes the engine's tokens on. The run at the engine is cancelled when the router leaves or the engine counts as
--- a/agent/router/journals.go
+++ b/agent/router/journals.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bilberrylug.dev/core/convert"
+	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/journal"
 	"bilberrylug.dev/core/metric"
@@ -33,16 +34,7 @@
 
 // Run drops old journals until the context ends.
 func (j *Journals) Run(ctx context.Context) {
-	ticker := j.clock.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-			j.expire()
-		}
-	}
+	group.Every(ctx, j.clock, expireInterval, j.expire)
 }
 
 func (j *Journals) expire() {
--- /dev/null
+++ b/bench/load/job.go
@@ -0,0 +1,42 @@
+package load
+
+import (
+	"time"
+
+	"bilberrylug.dev/agent/queue"
+	"bilberrylug.dev/core/ids"
+)
+
+// job is one request on its way.
+type job struct {
+	router    int
+	workspace int
+	tokens    int
+	class     queue.Class
+	prefix    string
+	arrived   time.Time
+	deadline  time.Time
+	upstream  *upstream
+	item      *queue.Item
+	first     time.Time
+	tried     []ids.VM
+	left      int
+	started   bool
+	runs      int
+	preempted int
+}
+
+// upstream is a simulated engine behind the real queue of its agent.
+type upstream struct {
+	vm      ids.VM
+	queue   *queue.Queue
+	slow    bool
+	running int
+	cadence time.Duration
+	tokenAt time.Time
+	waiting []*job
+	jobs    []*job
+	cache   []string
+	hits    int
+	misses  int
+}
--- /dev/null
+++ b/bench/load/placing.go
@@ -0,0 +1,145 @@
+package load
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bilberrylug.dev/agent/queue"
+	"bilberrylug.dev/core/ids"
+)
+
+// arrive draws the next request and the time of the one after it.
+func (s *simulation) arrive() {
+	if s.elapsed() > s.shape.Span {
+		return
+	}
+	rate := s.shape.Base
+	if s.elapsed() >= s.shape.PeakFrom && s.elapsed() < s.shape.PeakTo {
+		rate = s.shape.Peak
+	}
+	s.schedule(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.arrive)
+	s.place(s.draw())
+}
+
+func (s *simulation) draw() *job {
+	j := &job{
+		router: s.rng.IntN(s.deployment.Routers), workspace: s.rng.IntN(s.shape.Workspaces), tokens: s.shape.ShortTokens,
+		arrived: s.now, deadline: s.now.Add(s.shape.Deadline),
+	}
+	kind := s.rng.Float64()
+	if kind < s.shape.LongShare {
+		j.tokens, j.class = s.shape.LongTokens, queue.Long
+	} else if kind < s.shape.LongShare+s.shape.StragglerShare {
+		j.tokens, j.class = s.shape.StragglerTokens, queue.Long
+	}
+	if s.shape.Prompts > 0 {
+		j.prefix = fmt.Sprintf("prompt-%d", s.rng.IntN(s.shape.Prompts))
+	}
+	j.left = j.tokens
+	s.result.Requests++
+	return j
+}
+
+func (s *simulation) place(j *job) {
+	vm, ok := s.choosers[j.router].pick(s.now, uint64(j.tokens), j.prefix, j.tried)
+	if !ok || len(j.tried) >= placementTries {
+		s.refuse(j)
+		return
+	}
+	j.tried = append(j.tried, vm)
+	s.schedule(2*s.deployment.OneWay, func() { s.enqueue(j, s.upstreams[vm]) })
+}
+
+// refuse ends a new request; one that has run already looks on for a place.
+func (s *simulation) refuse(j *job) {
+	if j.runs == 0 {
+		s.result.Refused++
+		return
+	}
+	j.tried = nil
+	s.schedule(retryPause, func() { s.place(j) })
+}
+
+func (s *simulation) enqueue(j *job, u *upstream) {
+	class := j.class
+	if s.policy == RoundRobin || s.policy == LeastOutstanding || s.policy == NoReserve {
+		class = queue.Short
+	}
+	workspace := ids.Workspace(fmt.Sprint(j.workspace))
+	if class != j.class {
+		workspace = "all"
+	}
+	item, err := u.queue.Add(queue.Item{
+		Workspace: workspace, Class: class, Tokens: uint64(j.left), Deadline: j.deadline, Resumed: j.runs > 0,
+		Preemptible: s.policy == Predicted && j.preempted < maxPreemptions,
+	})
+	if err != nil {
+		s.choosers[j.router].ended(u.vm)
+		s.place(j)
+		return
+	}
+	j.item, j.upstream = item, u
+	u.waiting = append(u.waiting, j)
+	s.schedule(j.deadline.Sub(s.now), func() { s.expire(j) })
+	s.startWaiting(u)
+	s.preempt(u)
+}
+
+// preempt ends the runs that have to give their slots to short work, and places their rest anew.
+func (s *simulation) preempt(u *upstream) {
+	for _, j := range slices.Clone(u.jobs) {
+		select {
+		case <-j.item.Preempted():
+			j.preempted++
+			s.result.Preempted++
+			s.leave(j)
+			j.tried = nil
+			s.place(j)
+		default:
+		}
+	}
+}
+
+// leave ends a run that is continued elsewhere.
+func (s *simulation) leave(j *job) {
+	u := j.upstream
+	u.jobs = slices.DeleteFunc(u.jobs, func(one *job) bool { return one == j })
+	u.running--
+	u.queue.Done(j.item)
+	s.choosers[j.router].ended(u.vm)
+	j.started = false
+	j.runs++
+	j.deadline = s.now.Add(s.shape.Span)
+	s.startWaiting(u)
+}
+
+// expire refuses a job that has not started by its deadline.
+func (s *simulation) expire(j *job) {
+	if j.started || j.runs > 0 {
+		return
+	}
+	u := j.upstream
+	u.queue.Done(j.item)
+	u.waiting = slices.DeleteFunc(u.waiting, func(one *job) bool { return one == j })
+	s.choosers[j.router].ended(u.vm)
+	s.result.Refused++
+	s.startWaiting(u)
+}
+
+// startWaiting begins the jobs whose items have got their slots.
+func (s *simulation) startWaiting(u *upstream) {
+	u.waiting = slices.DeleteFunc(u.waiting, func(j *job) bool {
+		select {
+		case <-j.item.Started():
+			j.started = true
+			u.running++
+			u.jobs = append(u.jobs, j)
+			run := j.runs
+			s.schedule(s.prefill(u, j), func() { s.token(j, run) })
+			return true
+		default:
+			return false
+		}
+	})
+}
--- a/bench/slopes/slopes_test.go
+++ b/bench/slopes/slopes_test.go
@@ -291,7 +291,7 @@
 	for i := range 3580 {
 		news = append(news, member(i))
 	}
-	v.MergeNews(news, func([]membership.Member) {})
+	v.MergeNews(news)
 	_, version := v.After(0)
 	client := wire.NewDRPCRouterClient(dialer.Conn(listener.Addr().String()))
 	request := &wire.ExchangeRequest{
--- a/core/fault/catalogue.go
+++ b/core/fault/catalogue.go
@@ -9,7 +9,6 @@
 var Catalogue = []Kind{
 	{BadRequest, "BL1001", http.StatusBadRequest, NotRun, 0, false, "The request is malformed.", "Correct the field that the detail names."},
 	{Unauthenticated, "BL1002", http.StatusUnauthorized, NotRun, 0, false, "The API key is missing or unknown.", "Send the workspace's key as a bearer token."},
-	{Forbidden, "BL1003", http.StatusForbidden, NotRun, 0, false, "The workspace may not use this service.", "Ask an operator to add the service to the workspace."},
 	{UnknownModel, "BL1004", http.StatusNotFound, NotRun, 0, false, "No service of the workspace declares this model.", "Choose a model that GET /v1/models lists."},
 	{UnknownRoute, "BL1005", http.StatusNotFound, NotRun, 0, false, "No plain service declares this method and path.", "Declare the route on the service, or correct the path."},
 	{UnknownRequest, "BL1006", http.StatusNotFound, OutcomeUnknown, 0, false, "No journal that continues the given event id was found.", "Send the request again with a new request id."},
--- a/core/fault/code.go
+++ b/core/fault/code.go
@@ -7,7 +7,6 @@
 const (
 	BadRequest         Code = "bad_request"
 	Unauthenticated    Code = "unauthenticated"
-	Forbidden          Code = "forbidden"
 	UnknownModel       Code = "unknown_model"
 	UnknownRoute       Code = "unknown_route"
 	UnknownRequest     Code = "unknown_request"
--- /dev/null
+++ b/core/group/every.go
@@ -0,0 +1,22 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Every calls f after each interval until the context ends.
+func Every(ctx context.Context, clock clockwork.Clock, interval time.Duration, f func()) {
+	ticker := clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		f()
+	}
+}
--- a/router/peer/exchange.go
+++ b/router/peer/exchange.go
@@ -148,9 +148,7 @@
 		return
 	}
 	delete(e.failures, o.vm)
-	changed := false
-	e.View.MergeNews(convert.Each(o.reply.GetMembers(), convert.MemberFromWire), func(c []membership.Member) { changed = len(c) > 0 })
-	if changed {
+	if changed := e.View.MergeNews(convert.Each(o.reply.GetMembers(), convert.MemberFromWire)); len(changed) > 0 {
 		e.Nudge()
 	}
 	revision := ids.Revision(o.reply.GetRevision())
--- a/router/peer/grants.go
+++ b/router/peer/grants.go
@@ -9,6 +9,7 @@
 
 	"bilberrylug.dev/core/admission"
 	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/inforce"
 	"bilberrylug.dev/core/link"
@@ -46,19 +47,14 @@
 
 // Run drops idle accounts until the context ends.
 func (g *Grants) Run(ctx context.Context) {
-	ticker := g.clock.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-		g.mu.Lock()
-		g.home.Expire(g.clock.Now(), walletIdle)
-		g.local.Expire(g.clock.Now(), walletIdle)
-		g.mu.Unlock()
-	}
+	group.Every(ctx, g.clock, expireInterval, g.expire)
+}
+
+func (g *Grants) expire() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.home.Expire(g.clock.Now(), walletIdle)
+	g.local.Expire(g.clock.Now(), walletIdle)
 }
 
 func (g *Grants) limit(w ids.Workspace) admission.Limit {
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -15,6 +15,7 @@
 
 	"bilberrylug.dev/core/convert"
 	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/inforce"
 	"bilberrylug.dev/core/link"
@@ -86,15 +87,7 @@
 	if len(news) == 0 {
 		return
 	}
-	var changed []membership.Member
-	s.View.MergeNews(news, func(c []membership.Member) { changed = c })
-	if len(changed) == 0 {
-		return
-	}
-	for _, m := range changed {
-		s.Log.Write(event.MemberChanged, "member", string(m.VM), "state", m.State.String())
-	}
-	s.Changed()
+	s.spread(s.View.MergeNews(news))
 }
 
 func (s *Server) reply(sender ids.VM, r *wire.ExchangeRequest) *wire.ExchangeReply {
@@ -133,20 +126,15 @@
 
 // Judge suspects silent members until the context ends.
 func (s *Server) Judge(ctx context.Context) {
-	ticker := s.Clock.NewTicker(judgeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-		changed := s.View.Judge()
-		for _, m := range changed {
-			s.Log.Write(event.MemberChanged, "member", string(m.VM), "state", m.State.String())
-		}
-		if len(changed) > 0 {
-			s.Changed()
-		}
+	group.Every(ctx, s.Clock, judgeInterval, func() { s.spread(s.View.Judge()) })
+}
+
+// spread logs changes of members and passes them on.
+func (s *Server) spread(changed []membership.Member) {
+	for _, m := range changed {
+		s.Log.Write(event.MemberChanged, "member", string(m.VM), "state", m.State.String())
+	}
+	if len(changed) > 0 {
+		s.Changed()
 	}
 }
--- a/router/view/view.go
+++ b/router/view/view.go
@@ -192,15 +192,15 @@
 	return out
 }
 
-// MergeNews merges news of members, and tells what changed.
-func (v *View) MergeNews(news []membership.Member, changed func([]membership.Member)) {
+// MergeNews merges news of members and returns those that changed.
+func (v *View) MergeNews(news []membership.Member) []membership.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := v.table.Merge(v.clock.Now(), news)
-	if len(c) > 0 {
+	changed := v.table.Merge(v.clock.Now(), news)
+	if len(changed) > 0 {
 		v.lists = nil
 	}
-	changed(c)
+	return changed
 }
 
 // Judge suspects silent members and returns those that changed.
--- /dev/null
+++ b/standin/engine/orders.go
@@ -0,0 +1,88 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"bilberrylug.dev/standin/httpjson"
+)
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	if !s.thaw(r) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c, known := s.cancels[r.PathValue("id")]; known {
+		close(c)
+		delete(s.cancels, r.PathValue("id"))
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// load answers with a report that is as old as the lag.
+func (s *Server) load(w http.ResponseWriter, r *http.Request) {
+	if !s.thaw(r) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.reportAt) >= s.opts.ReportLag {
+		s.report = loadReport{min(s.running, s.opts.Slots), max(0, s.running-s.opts.Slots)}
+		s.reportAt = time.Now()
+	}
+	httpjson.Write(w, http.StatusOK, s.report)
+}
+
+func (s *Server) listModels(w http.ResponseWriter, r *http.Request) {
+	if !s.thaw(r) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	httpjson.Write(w, http.StatusOK, s.models)
+}
+
+func (s *Server) takeOrder(w http.ResponseWriter, r *http.Request) {
+	o, ok := httpjson.Read[order](w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.opts.ChecksFence && o.Fence < s.fence {
+		http.Error(w, "stale fence", http.StatusConflict)
+		return
+	}
+	s.fence = max(s.fence, o.Fence)
+	s.orders = append(s.orders, o)
+	m := Model{o.Model, o.Version}
+	switch o.Action {
+	case "load":
+		if !slices.Contains(s.models, m) {
+			s.models = append(s.models, m)
+		}
+	case "unload":
+		s.models = slices.DeleteFunc(s.models, func(one Model) bool { return one == m })
+	default:
+		http.Error(w, "unknown action", http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) listOrders(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	httpjson.Write(w, http.StatusOK, s.orders)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	f, ok := httpjson.Read[Faults](w, r)
+	if !ok {
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -7,7 +7,6 @@
 package platform
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -198,88 +197,6 @@
 	s.stats.Reads++
 }
 
-func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxValueBytes+1))
-	if err != nil || len(body) > maxValueBytes {
-		http.Error(w, "value is over a megabyte", http.StatusRequestEntityTooLarge)
-		return
-	}
-	q := r.URL.Query()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.Writes++
-	key := r.PathValue("key")
-	old := s.values[key]
-	if holder := q.Get("acquire"); holder != "" {
-		s.acquire(w, key, old, body, holder)
-		return
-	}
-	cas, err := strconv.ParseUint(q.Get("cas"), 10, 64)
-	if err != nil || cas != old.Index {
-		httpjson.Write(w, http.StatusOK, swapReply{false, old})
-		return
-	}
-	v := s.set(key, body, old.Session)
-	v.Body = nil
-	httpjson.Write(w, http.StatusOK, swapReply{true, v})
-}
-
-func (s *Server) set(key string, body []byte, session string) value {
-	s.index++
-	v := value{body, s.index, session}
-	s.values[key] = v
-	s.notify()
-	return v
-}
-
-// acquire gives a key to a live session unless another live one holds it.
-func (s *Server) acquire(w http.ResponseWriter, key string, old value, body []byte, holder string) {
-	now := time.Now()
-	if now.After(s.sessions[holder].expires) {
-		httpjson.Write(w, http.StatusOK, swapReply{false, old})
-		return
-	}
-	if old.Session != "" && old.Session != holder && now.Before(s.sessions[old.Session].expires) {
-		httpjson.Write(w, http.StatusOK, swapReply{false, old})
-		return
-	}
-	if old.Session == holder {
-		httpjson.Write(w, http.StatusOK, swapReply{true, old})
-		return
-	}
-	httpjson.Write(w, http.StatusOK, swapReply{true, s.set(key, body, holder)})
-}
-
-func (s *Server) openSession(w http.ResponseWriter, r *http.Request) {
-	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
-	if err != nil {
-		http.Error(w, "ttl is not a time span", http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.Writes++
-	s.index++
-	id := "session-" + strconv.FormatUint(s.index, 10)
-	s.sessions[id] = session{ttl, time.Now().Add(ttl)}
-	httpjson.Write(w, http.StatusOK, map[string]string{"id": id})
-}
-
-func (s *Server) renewSession(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stats.Writes++
-	id := r.PathValue("id")
-	one, known := s.sessions[id]
-	if !known || time.Now().After(one.expires) {
-		httpjson.Write(w, http.StatusOK, swapReply{})
-		return
-	}
-	one.expires = time.Now().Add(one.ttl)
-	s.sessions[id] = one
-	httpjson.Write(w, http.StatusOK, swapReply{OK: true})
-}
-
 func (s *Server) setVM(w http.ResponseWriter, r *http.Request) {
 	s.SetVM(r.PathValue("id"), r.URL.Query().Get("state"))
 	w.WriteHeader(http.StatusNoContent)
