Entries for one witness gather for 2 ms

Cause: a profile of a router at 300 streams (15000 tokens/s, 1.25 cores) had 20% in appends to witnesses, one or two tokens a call; the rest is spread over system calls for reading and writing streams. Ruled out: encoding (8%), the machine (a few percent).

--- a/router/agent/appender.go
+++ b/router/agent/appender.go
@@ -17,6 +17,9 @@
 const (
 	// appendTimeout is the time without an answer after which a witness counts as lost.
 	appendTimeout = 700 * time.Millisecond
+	// appendLinger is the time between two calls to one witness, in which entries gather. The first entry after a pause
+	// goes at once.
+	appendLinger = 2 * time.Millisecond
 	// maxBatchEntries bounds one append call.
 	maxBatchEntries = 512
 )
@@ -81,6 +84,7 @@
 		for i, p := range batch {
 			p.report(answer(p.Append, reply, i, err))
 		}
+		a.links.Clock.Sleep(appendLinger)
 	}
 }
 
--- a/router/agent/links.go
+++ b/router/agent/links.go
@@ -11,6 +11,7 @@
 	"context"
 	"sync"
 
+	"github.com/jonboulle/clockwork"
 	"storj.io/drpc/drpcpool"
 
 	"bilberrylug.dev/core/event"
@@ -28,6 +29,7 @@
 	View    *view.View
 	Dialer  *link.Dialer
 	Config  *inforce.Holder
+	Clock   clockwork.Clock
 	Log     *event.Log
 	Group   *group.Group
 	Refresh func(ctx context.Context) error
--- a/router/app/app.go
+++ b/router/app/app.go
@@ -107,7 +107,7 @@
 		Store: store, View: a.view, Config: a.config, Clock: a.clock, Log: a.log, InForce: a.inForce, Changed: a.exchange.Nudge,
 	})
 	links := agent.New(agent.Options{
-		View: a.view, Dialer: a.dialer, Config: a.config, Log: a.log, Group: a.group, Refresh: a.refresh,
+		View: a.view, Dialer: a.dialer, Config: a.config, Clock: a.clock, Log: a.log, Group: a.group, Refresh: a.refresh,
 	})
 	a.orders = orders.New(orders.Options{
 		Store: store, View: a.view, Config: a.config, Links: links, Clock: a.clock, Log: a.log, LoadsPerMinute: a.cfg.LoadsPerMinute,
