A claimed answer replaces the one that its router still holds

Cause, found by reading: a caller that came back to a router with tokens from another one was given the answer that the first router still held from before the claim. Its tokens had not been compared with what the caller had seen; only the witness's refusal stood between that and two generations in one answer. Ruled out: the search in the registry (it compares the digest); the claim (it does too). The gap was between the two. Also tested: memory_limit begins nothing.

--- a/router/answer/answer.go
+++ b/router/answer/answer.go
@@ -142,7 +142,7 @@
 		var e generation.Event
 		select {
 		case <-ctx.Done():
-			a.publish(func(s *State) { s.Fault = fault.New(fault.Superseded, "the router stops") })
+			a.publish(func(s *State) { s.Fault = fault.New(fault.Superseded, "claimed again, or the router stops") })
 			return
 		case e = <-a.events:
 		case <-ticker.Chan():
--- a/router/answer/registry.go
+++ b/router/answer/registry.go
@@ -83,13 +83,19 @@
 	return len(p.Text) + int(p.MaxTokens)*bytesPerToken
 }
 
-// Start begins or continues the answer of a journal and attaches the caller. When the same request has been started
-// here meanwhile, that answer is returned. A fault of kind memory_limit means that nothing was begun.
+// Start begins or continues the answer of a journal and attaches the caller. When a new request has been started here
+// meanwhile, that answer is returned. A claimed journal replaces an answer that this router still holds from before: the
+// caller may have seen tokens elsewhere that the old answer does not have. A fault of kind memory_limit means that nothing
+// was begun.
 func (r *Registry) Start(j journal.Journal, witnesses []ids.VM) (*Answer, func(), error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if a, found := r.answers[j.Key]; found {
-		return a, a.Attach(), nil
+	old, found := r.answers[j.Key]
+	if found && j.Attempt == 0 {
+		return old, old.Attach(), nil
+	}
+	if found {
+		old.group.Cancel()
 	}
 	need := answerBytes(j.Prompt)
 	if r.bytes+need > r.opts.MaxBytes {
@@ -101,7 +107,7 @@
 	detach := a.Attach()
 	r.opts.Group.Go(func(context.Context) {
 		a.run(a.group.Context())
-		r.remove(j.Key, need)
+		r.remove(j.Key, a, need)
 		a.group.Stop()
 	})
 	return a, detach, nil
@@ -125,10 +131,13 @@
 	return a
 }
 
-func (r *Registry) remove(key ids.RequestKey, bytes int) {
+// remove forgets an answer that has ended, unless another one has taken its place.
+func (r *Registry) remove(key ids.RequestKey, a *Answer, bytes int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.answers, key)
+	if r.answers[key] == a {
+		delete(r.answers, key)
+	}
 	r.bytes -= bytes
 }
 
--- /dev/null
+++ b/router/answer/registry_test.go
@@ -0,0 +1,60 @@
+package answer_test
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/journal"
+	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/core/metric"
+	"bilberrylug.dev/router/agent"
+	"bilberrylug.dev/router/answer"
+	"bilberrylug.dev/router/view"
+)
+
+func TestAnswer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "answers")
+}
+
+var _ = Describe("a registry", func() {
+	var r *answer.Registry
+	key := ids.RequestKey{Workspace: "growers", Request: "lot-7"}
+	BeforeEach(func() {
+		g := group.New(GinkgoTB().Context())
+		DeferCleanup(g.Stop)
+		config, clock, log := inforce.New(false), clockwork.NewRealClock(), event.New(io.Discard, slog.LevelError, "t")
+		v := view.New(view.Options{Self: membership.Member{VM: "entry-1"}, Config: config, Clock: clock, Rand: rand.New(rand.NewPCG(1, 2))})
+		links := agent.New(agent.Options{View: v, Config: config, Clock: clock, Log: log, Group: g})
+		r = answer.NewRegistry(answer.Options{
+			Owner: "entry-1", View: v, Links: links, Clock: clock, Log: log, Metrics: metric.New(), Group: g, MaxBytes: 100_000,
+		})
+	})
+
+	It("puts a claimed answer in the place of the one that it still holds, whose callers are told", func() {
+		first, detach, err := r.Start(journal.Journal{Key: key}, []ids.VM{"w1"})
+		Expect(err).NotTo(HaveOccurred())
+		defer detach()
+		second, detachSecond, err := r.Start(journal.Journal{Key: key, Attempt: ids.Attempt(0).NextEpoch()}, []ids.VM{"w1"})
+		Expect(err).NotTo(HaveOccurred())
+		defer detachSecond()
+		Expect(second).NotTo(BeIdenticalTo(first))
+		Eventually(func() error { return first.State().Fault }).Should(HaveOccurred())
+	})
+	It("refuses what does not fit into its memory, and begins nothing", func() {
+		_, _, err := r.Start(journal.Journal{Key: key, Prompt: journal.Prompt{MaxTokens: 10_000}}, nil)
+		Expect(fault.CodeOf(err)).To(Equal(fault.MemoryLimit))
+		Expect(r.Len()).To(BeZero())
+	})
+})
