--- a/bench/e2e/answers_test.go
+++ b/bench/e2e/answers_test.go
@@ -27,6 +27,7 @@
 		time.Sleep(underWay)
 		fault()
 		expectWhole(wait())
+		s.reportGenerated(12 * 250)
 	},
 		Entry("an engine", func() { s.processes["engine-0"].kill() }),
 		Entry("two engines", func() { s.processes["engine-0"].kill(); s.processes["engine-1"].kill() }),
--- a/bench/e2e/judging_test.go
+++ b/bench/e2e/judging_test.go
@@ -107,3 +107,23 @@
 	Expect(err).NotTo(HaveOccurred())
 	_ = resp.Body.Close()
 }
+
+// reportGenerated reports how many tokens the engines generated for an answer's worth, as far as all engines still answer:
+// what is over is generated twice.
+func (s *site) reportGenerated(expected int) {
+	produced := 0
+	for i := range s.options.engines {
+		client := http.Client{Timeout: time.Second}
+		resp, err := client.Get("http://" + s.processes[fmt.Sprintf("engine-%d", i)].listen + "/standin/runs")
+		if err != nil {
+			return
+		}
+		var runs []engine.Run
+		_ = json.NewDecoder(resp.Body).Decode(&runs)
+		_ = resp.Body.Close()
+		for _, r := range runs {
+			produced += r.Produced
+		}
+	}
+	AddReportEntry("generated", fmt.Sprintf("%d tokens for %d", produced, expected))
+}
