A claim with another body takes nothing from an answer under way

Cause, found by reading: a caller that used a request id again with another body was refused with request_id_reused, but the claim had already taken the answer from the router that was streaming it, and its caller was cut. Change: the claim carries the body's hash; the witness shows the mismatch and keeps the holder.

--- a/agent/router/journals.go
+++ b/agent/router/journals.go
@@ -63,7 +63,7 @@
 	found, ok := j.store.Claim(j.clock.Now(), journal.Claim{
 		Key:   ids.RequestKey{Workspace: ids.Workspace(r.GetWorkspace()), Request: ids.Request(r.GetRequestId())},
 		Owner: ids.Owner(r.GetOwner()), MinLength: r.GetMinLength(),
-		Digest: journal.Digest(r.GetDigest()), HasDigest: r.GetHasDigest(),
+		Digest: journal.Digest(r.GetDigest()), HasDigest: r.GetHasDigest(), BodyHash: r.GetBodyHash(),
 	})
 	if !ok {
 		return &wire.ClaimReply{}
--- a/core/journal/claim.go
+++ b/core/journal/claim.go
@@ -7,6 +7,7 @@
 type Claim struct {
 	Key       ids.RequestKey
 	Owner     ids.Owner
+	BodyHash  uint64
 	MinLength uint32
 	Digest    Digest
 	HasDigest bool
--- a/core/journal/store.go
+++ b/core/journal/store.go
@@ -106,12 +106,15 @@
 }
 
 // Claim gives the journal to a new attempt and returns a copy of it. From then on, entries of earlier attempts are
-// refused.
+// refused. A claim for another body takes nothing: it is shown the body's hash alone, and the answer under way goes on.
 func (s *Store) Claim(now time.Time, c Claim) (Journal, bool) {
 	j, known := s.journals[c.Key]
 	if !known {
 		return Journal{}, false
 	}
+	if j.BodyHash != c.BodyHash {
+		return Journal{Key: j.Key, BodyHash: j.BodyHash}, true
+	}
 	if c.HasDigest && !j.Continues(c.MinLength, c.Digest) {
 		return Journal{}, false
 	}
--- a/core/journal/store_test.go
+++ b/core/journal/store_test.go
@@ -33,7 +33,7 @@
 
 	It("refuses a router whose answer was claimed, however many runs of its own it counts", func() {
 		s.Append(start, open("r1", "a"))
-		j, found := s.Claim(start, journal.Claim{Key: key, Owner: "r2"})
+		j, found := s.Claim(start, journal.Claim{Key: key, Owner: "r2", BodyHash: 1})
 		Expect(found).To(BeTrue())
 		for a := ids.Attempt(1); a < 100; a++ {
 			Expect(append1(a, "r1", 1, "b")).To(Equal(journal.Superseded))
@@ -42,8 +42,8 @@
 	})
 	It("refuses the entries of a router's earlier hold after it lost the answer and claimed it again", func() {
 		s.Append(start, open("r1", "a"))
-		_, _ = s.Claim(start, journal.Claim{Key: key, Owner: "r2"})
-		again, _ := s.Claim(start, journal.Claim{Key: key, Owner: "r1"})
+		_, _ = s.Claim(start, journal.Claim{Key: key, Owner: "r2", BodyHash: 1})
+		again, _ := s.Claim(start, journal.Claim{Key: key, Owner: "r1", BodyHash: 1})
 		Expect(append1(5, "r1", 1, "b")).To(Equal(journal.Superseded))
 		Expect(append1(again.Attempt, "r1", 1, "c")).To(Equal(journal.Accepted))
 	})
@@ -61,6 +61,13 @@
 		s.Append(start, journal.Entry{Key: key, Attempt: 1, Owner: "r1", First: 2, FinishReason: "stop"})
 		Expect(append1(1, "r1", 2, "c")).To(Equal(journal.Diverged))
 	})
+	It("takes nothing from an answer under way for a claim with another body", func() {
+		s.Append(start, open("r1", "a"))
+		j, found := s.Claim(start, journal.Claim{Key: key, Owner: "r2", BodyHash: 2})
+		Expect(found).To(BeTrue())
+		Expect(j).To(Equal(journal.Journal{Key: key, BodyHash: 1}))
+		Expect(append1(1, "r1", 1, "b")).To(Equal(journal.Accepted))
+	})
 	It("gives a journal only to a caller whose tokens it continues", func() {
 		s.Append(start, open("r1", "a", "b"))
 		for _, c := range []struct {
@@ -68,7 +75,7 @@
 			found bool
 		}{{[]string{"a"}, true}, {[]string{"x"}, false}, {[]string{"a", "b", "c"}, false}, {nil, true}} {
 			_, found := s.Claim(start, journal.Claim{
-				Key: key, Owner: "r2", HasDigest: true, MinLength: uint32(len(c.seen)), Digest: journal.DigestOf(c.seen),
+				Key: key, Owner: "r2", BodyHash: 1, HasDigest: true, MinLength: uint32(len(c.seen)), Digest: journal.DigestOf(c.seen),
 			})
 			Expect(found).To(Equal(c.found))
 		}
--- a/router/agent/claim.go
+++ b/router/agent/claim.go
@@ -58,6 +58,7 @@
 	r, err := wire.NewDRPCAgentClient(conn).Claim(ctx, &wire.ClaimRequest{
 		Header: l.header(), Workspace: string(c.Key.Workspace), RequestId: string(c.Key.Request), Owner: string(c.Owner),
 		MinLength: c.MinLength, Digest: uint64(c.Digest), HasDigest: c.HasDigest,
+		BodyHash: c.BodyHash,
 	})
 	if err != nil || !r.GetFound() {
 		return nil
--- a/router/caller/find.go
+++ b/router/caller/find.go
@@ -105,6 +105,7 @@
 	}
 	claimed, found := s.Links.Claim(r.Context(), witnesses, journal.Claim{
 		Key: p.key, Owner: s.owner(), MinLength: p.seen, Digest: p.digest, HasDigest: p.seen > 0,
+		BodyHash: req.bodyHash,
 	})
 	if !found {
 		return nil, nil, nil
