Read once more: one parser of time spans, no walk of the table for equal digests, a returned argument and a dead function out

- Duration had its parsing and its message twice, for files and for chunks; the file's way now adds the line only.
- An exchange with equal digests collected and sorted the whole table and threw it away; only the version is taken now.
- changedSince returned its own argument; Exchange.Round had no caller left.

--- a/core/declared/duration.go
+++ b/core/declared/duration.go
@@ -13,23 +13,18 @@
 
 // UnmarshalYAML parses the span; a number without a unit is an error that names its line.
 func (d *Duration) UnmarshalYAML(node ast.Node) error {
-	text := node.GetToken().Value
-	v, err := time.ParseDuration(text)
-	if err != nil || v < 0 {
-		return &yaml.SyntaxError{
-			Message: fmt.Sprintf("%q is not a time span; write a number with a unit, such as 50ms, 2s or 24h", text),
-			Token:   node.GetToken(),
-		}
+	token := node.GetToken()
+	if err := d.UnmarshalText([]byte(token.Value)); err != nil {
+		return &yaml.SyntaxError{Message: err.Error(), Token: token}
 	}
-	*d = Duration(v)
 	return nil
 }
 
-// UnmarshalText parses the span as the configuration's chunks hold it.
+// UnmarshalText parses the span as the files and the configuration's chunks hold it.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
-	if err != nil {
-		return fmt.Errorf("time span: %w", err)
+	if err != nil || v < 0 {
+		return fmt.Errorf("%q is not a time span; write a number with a unit, such as 50ms, 2s or 24h", text)
 	}
 	*d = Duration(v)
 	return nil
--- a/core/inforce/fetch.go
+++ b/core/inforce/fetch.go
@@ -62,9 +62,9 @@
 	head.History = nil
 	if r.GetServicesOnly() {
 		head.WorkspaceChunks = nil
-	} else if base, changed, ok := h.changedSince(ids.Revision(r.GetHeader().GetRevision()), &head); ok {
+	} else if changed, ok := h.changedSince(ids.Revision(r.GetHeader().GetRevision()), &head); ok {
 		head.WorkspaceChunks = nil
-		reply.BaseRevision = uint64(base)
+		reply.BaseRevision = r.GetHeader().GetRevision()
 		reply.Changed = changed
 	}
 	body, err := json.Marshal(head)
@@ -88,10 +88,10 @@
 }
 
 // changedSince lists the chunks of a head that differ from a recent revision with as many chunks.
-func (h *Holder) changedSince(base ids.Revision, head *declared.Head) (ids.Revision, []*wire.ChangedChunk, bool) {
+func (h *Holder) changedSince(base ids.Revision, head *declared.Head) ([]*wire.ChangedChunk, bool) {
 	old, known := h.chunksOf(base)
 	if !known || len(old) != len(head.WorkspaceChunks) {
-		return 0, nil, false
+		return nil, false
 	}
 	var changed []*wire.ChangedChunk
 	for i, hash := range head.WorkspaceChunks {
@@ -99,7 +99,7 @@
 			changed = append(changed, &wire.ChangedChunk{Index: uint32(i), Hash: hash})
 		}
 	}
-	return base, changed, true
+	return changed, true
 }
 
 // completeHead fills a head's workspace chunks from an own revision and the changed ones.
--- a/router/peer/exchange.go
+++ b/router/peer/exchange.go
@@ -70,9 +70,6 @@
 	}
 }
 
-// Round exchanges once with the given number of peers, before the process serves or stops.
-func (e *Exchange) Round(ctx context.Context, peers int) { e.round(ctx, peers) }
-
 // target is a router to exchange with; a seed's id is not known before its first answer.
 type target struct {
 	vm      ids.VM
--- a/router/peer/server.go
+++ b/router/peer/server.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -95,10 +96,11 @@
 	if r.GetKnownEpoch() != s.Epoch {
 		after = 0
 	}
-	members, version := s.View.After(after)
 	if r.GetDigest() != 0 {
-		members = nil
+		// The tables are the same: only the version is wanted.
+		after = math.MaxUint64
 	}
+	members, version := s.View.After(after)
 	out := &wire.ExchangeReply{Revision: uint64(s.Config.Revision()), Epoch: s.Epoch, Version: version}
 	toAgent := r.GetRole() == string(membership.Agent)
 	for _, m := range members {
