The whole path on the users' platform: a router that speaks to upstreams itself, and the platform's adapter

The product gains a store interface with a replica, routing, a fleet directory, placing of generations with a copy of their memory in another failure domain, a budget of repeats, upstream connections and a callers' edge. platform/ translates.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -14,8 +14,20 @@
 	ConfigInForce     = Kind{"EV2001", slog.LevelInfo, "configuration in force", noAction}
 	ConfigUnreadable  = Kind{"EV2002", slog.LevelError, "configuration could not be read", "Check the chunks of the named revision; the former revision stays in force."}
 	StoreFailed       = Kind{"EV2003", slog.LevelWarn, "platform's service did not answer", "Check the platform's service; serving goes on without it."}
+	StoreReached      = Kind{"EV2004", slog.LevelInfo, "store answers", noAction}
 	MemberChanged     = Kind{"EV3001", slog.LevelInfo, "member changed its state", "None, unless many change at once."}
 	ExchangeFailed    = Kind{"EV3002", slog.LevelDebug, "exchange with a peer failed", "None, unless it lasts."}
+	EntryUnreadable   = Kind{"EV3004", slog.LevelWarn, "entry of the store skipped", "Find out who wrote the named key; the other entries hold."}
+	UpstreamChanged   = Kind{"EV3005", slog.LevelInfo, "upstream changed its state", noAction}
+	UpstreamLost      = Kind{"EV3006", slog.LevelWarn, "upstream out of use", "None, unless it lasts; it is used again when it registers anew or answers a probe."}
+	UpstreamFound     = Kind{"EV3007", slog.LevelInfo, "upstream answers again", noAction}
+	PeerChanged       = Kind{"EV3008", slog.LevelInfo, "other router changed its state", noAction}
+	Reloaded          = Kind{"EV1005", slog.LevelInfo, "settings read again", noAction}
+	LinesDropped      = Kind{"EV1006", slog.LevelWarn, "log lines dropped", "Raise log_level, or read the output faster."}
+	RequestEnded      = Kind{"EV4301", slog.LevelInfo, "request ended", noAction}
+	RequestRefused    = Kind{"EV4302", slog.LevelInfo, "request refused", "See the fault's remedy."}
+	RequestAttempt    = Kind{"EV4303", slog.LevelInfo, "request sent to an upstream", noAction}
+	RequestAttemptEnd = Kind{"EV4304", slog.LevelInfo, "upstream's run of a request ended", noAction}
 	Draining          = Kind{"EV3003", slog.LevelInfo, "upstream is leaving", "Stop the VM when its running work is zero."}
 	AttemptStarted    = Kind{"EV4001", slog.LevelDebug, "attempt started", noAction}
 	AttemptLost       = Kind{"EV4002", slog.LevelWarn, "attempt lost", "Check the named upstream; the answer is resumed elsewhere."}
@@ -35,11 +47,12 @@
 
 // Catalogue lists every event in the order of its number.
 var Catalogue = []Kind{
-	Started, Stopping, Stopped, Ready,
-	ConfigInForce, ConfigUnreadable, StoreFailed,
-	MemberChanged, ExchangeFailed, Draining,
+	Started, Stopping, Stopped, Ready, Reloaded, LinesDropped,
+	ConfigInForce, ConfigUnreadable, StoreFailed, StoreReached,
+	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamFound, PeerChanged,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
+	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnd,
 	CallUnknown, CallSettled, LedgerWriteLost,
 	LeaseHeld, LeaseLost, OrderGiven, OrderRefused,
 }
--- a/core/event/log.go
+++ b/core/event/log.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"io"
+	"log"
 	"log/slog"
 )
 
@@ -27,3 +28,6 @@
 func (l *Log) Write(k Kind, args ...any) {
 	l.slog.With("event", k.Number).Log(context.Background(), k.Level, k.Title, args...)
 }
+
+// Standard returns a logger for libraries that want one of the standard package; its lines are warnings.
+func (l *Log) Standard() *log.Logger { return slog.NewLogLogger(l.slog.Handler(), slog.LevelWarn) }
--- /dev/null
+++ b/core/fleet/directory.go
@@ -0,0 +1,175 @@
+// Package fleet knows the upstreams of all services: what they registered, and what the router has seen of them since.
+//
+// # Usage
+//
+//	d := fleet.New(2*time.Second)
+//	d.Put(entry, now)
+//	for _, u := range d.Usable("lug-pool", now) { ... }
+//	d.Lost(u.ID, u.Started, now) // no answer: out of use until it registers anew or a probe succeeds
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+const (
+	// domainWindow is the time in which losses in one failure domain count together.
+	domainWindow = time.Second
+	// domainLosses is the number of upstreams lost together that puts their failure domain under suspicion.
+	domainLosses = 2
+)
+
+// Upstream is one registered upstream.
+type Upstream struct {
+	Entry
+	// lostAt is when it was last found unreachable, zero when it is in use.
+	lostAt time.Time
+	// missingSince is when its entry vanished while the store may have dropped living entries.
+	missingSince time.Time
+}
+
+// Directory holds the upstreams. It is not safe for concurrent use.
+type Directory struct {
+	// returnTime is how long a living upstream may take to register anew after the store's return.
+	returnTime time.Duration
+	upstreams  map[ids.VM]*Upstream
+	losses     map[ids.FailureDomain][]time.Time
+	// storeBack is when the store was reached again, zero before the first failure.
+	storeBack time.Time
+	storeDown bool
+}
+
+// New returns an empty directory.
+func New(returnTime time.Duration) *Directory {
+	return &Directory{returnTime: returnTime, upstreams: map[ids.VM]*Upstream{}, losses: map[ids.FailureDomain][]time.Time{}}
+}
+
+// Put takes an upstream's entry.
+func (d *Directory) Put(e Entry) {
+	old, known := d.upstreams[e.ID]
+	if !known || old.Started != e.Started || old.Address != e.Address {
+		d.upstreams[e.ID] = &Upstream{Entry: e}
+		return
+	}
+	old.Entry = e
+	old.missingSince = time.Time{}
+}
+
+// Remove takes an entry out. While the store is away, and for the time that living upstreams need to register anew, the
+// upstream stays in use.
+func (d *Directory) Remove(id ids.VM, now time.Time) {
+	u, known := d.upstreams[id]
+	if !known {
+		return
+	}
+	if !u.Draining && d.returning(now) {
+		u.missingSince = now
+		return
+	}
+	delete(d.upstreams, id)
+}
+
+// StoreReached notes that the store answers, or no longer does.
+func (d *Directory) StoreReached(reached bool, now time.Time) {
+	if reached && d.storeDown {
+		d.storeBack = now
+	}
+	d.storeDown = !reached
+}
+
+func (d *Directory) returning(now time.Time) bool {
+	return d.storeDown || !d.storeBack.IsZero() && now.Sub(d.storeBack) < d.returnTime
+}
+
+// Expire drops the upstreams that have not registered anew in time, and returns them.
+func (d *Directory) Expire(now time.Time) []ids.VM {
+	if d.returning(now) {
+		return nil
+	}
+	var out []ids.VM
+	for id, u := range d.upstreams {
+		if !u.missingSince.IsZero() {
+			delete(d.upstreams, id)
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Lost takes an upstream out of use until it registers a new start or is found again.
+func (d *Directory) Lost(id ids.VM, started int64, now time.Time) {
+	u, known := d.upstreams[id]
+	if !known || u.Started != started {
+		return
+	}
+	if u.lostAt.IsZero() {
+		recent := slices.DeleteFunc(d.losses[u.Domain], func(t time.Time) bool { return now.Sub(t) > domainWindow })
+		d.losses[u.Domain] = append(recent, now)
+	}
+	u.lostAt = now
+}
+
+// Found puts an upstream back in use.
+func (d *Directory) Found(id ids.VM, started int64) {
+	if u, known := d.upstreams[id]; known && u.Started == started {
+		u.lostAt = time.Time{}
+	}
+}
+
+// Forget drops an upstream whose address answers as another one.
+func (d *Directory) Forget(id ids.VM, started int64) {
+	if u, known := d.upstreams[id]; known && u.Started == started {
+		delete(d.upstreams, id)
+	}
+}
+
+// Suspect tells that several upstreams of a failure domain were lost within a short time.
+func (d *Directory) Suspect(domain ids.FailureDomain, now time.Time) bool {
+	n := 0
+	for _, t := range d.losses[domain] {
+		if now.Sub(t) <= domainWindow {
+			n++
+		}
+	}
+	return n >= domainLosses
+}
+
+// Get returns an upstream.
+func (d *Directory) Get(id ids.VM) (Upstream, bool) {
+	u, known := d.upstreams[id]
+	if !known {
+		return Upstream{}, false
+	}
+	return *u, true
+}
+
+// InUse tells whether an upstream may be given work.
+func (u Upstream) InUse() bool { return !u.Draining && u.lostAt.IsZero() }
+
+// Usable returns the upstreams of a service that may be given work, in the order of their ids.
+func (d *Directory) Usable(service ids.Service) []Upstream {
+	return d.list(func(u *Upstream) bool { return u.Service == service && u.InUse() })
+}
+
+// LostOnes returns the registered upstreams that are out of use since they were lost.
+func (d *Directory) LostOnes() []Upstream {
+	return d.list(func(u *Upstream) bool { return !u.lostAt.IsZero() })
+}
+
+// LostAt returns when the upstream was last found unreachable.
+func (u Upstream) LostAt() time.Time { return u.lostAt }
+
+func (d *Directory) list(match func(u *Upstream) bool) []Upstream {
+	var out []Upstream
+	for _, u := range d.upstreams {
+		if match(u) {
+			out = append(out, *u)
+		}
+	}
+	slices.SortFunc(out, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
--- /dev/null
+++ b/core/mirror/follower.go
@@ -0,0 +1,188 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/store"
+)
+
+const (
+	// watchWait is how long one watch is kept waiting. It stays well below the history that a store keeps.
+	watchWait = 8 * time.Second
+	// watchSlack is how much later than its wait a watch's answer may come before the connection counts as silent.
+	watchSlack = 700 * time.Millisecond
+	// listTimeout bounds one page of a listing; a slow store takes some hundred milliseconds.
+	listTimeout = 1500 * time.Millisecond
+	// gather is the pause between watches in which changes are gathered, since each call is counted.
+	gather = 30 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failed call, in which all routers share the store's rate.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 400 * time.Millisecond
+)
+
+// Options are what a follower needs.
+type Options struct {
+	Store  store.Store
+	Layout Layout
+	Clock  clockwork.Clock
+	Log    *event.Log
+	// Changed is told each batch of news in order, from one goroutine at a time.
+	Changed func(news []store.Change)
+	// Reached is told when the store answers again after a failure, and with false when it fails.
+	Reached func(reached bool)
+	// Silent is called after a call without an answer, so that its connection is not used again.
+	Silent func()
+}
+
+// Follower keeps a replica up to date.
+type Follower struct {
+	o Options
+
+	mu      sync.Mutex
+	replica *Replica
+	reached bool
+}
+
+// NewFollower returns a follower with an empty replica.
+func NewFollower(o Options) *Follower { return &Follower{o: o, replica: NewReplica()} }
+
+// Revision returns the revision up to which the replica is complete.
+func (f *Follower) Revision() store.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Revision()
+}
+
+// Since returns the changes behind a revision and the revision up to which they are complete.
+func (f *Follower) Since(since store.Revision) ([]store.Change, store.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Since(since), f.replica.Revision()
+}
+
+// Merge takes changes that another router has behind this one's revision.
+func (f *Follower) Merge(list []store.Change, upTo store.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.o.Changed(f.replica.Apply(list, upTo))
+}
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	listed := false
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = f.list(ctx)
+			listed = err == nil
+		} else {
+			err = f.watch(ctx)
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			listed = false
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		pause := gather
+		if err != nil {
+			f.o.Silent()
+			pause = backoff
+			backoff = min(maxBackoff, 2*backoff)
+		} else {
+			backoff = firstBackoff
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.o.Clock.After(pause):
+		}
+	}
+}
+
+func (f *Follower) note(err error) {
+	f.mu.Lock()
+	before := f.reached
+	f.reached = err == nil
+	revision := f.replica.Revision()
+	f.mu.Unlock()
+	if before == (err == nil) {
+		return
+	}
+	if err != nil {
+		f.o.Log.Write(event.StoreFailed, "error", err.Error(), "revision", uint64(revision))
+	} else {
+		f.o.Log.Write(event.StoreReached, "revision", uint64(revision))
+	}
+	f.o.Reached(err == nil)
+}
+
+// list reads all prefixes anew.
+func (f *Follower) list(ctx context.Context) error {
+	var at store.Revision
+	for _, prefix := range []string{f.o.Layout.Config, f.o.Layout.Upstreams, f.o.Layout.Routers} {
+		items, revision, err := f.listPrefix(ctx, prefix)
+		if err != nil {
+			return err
+		}
+		if at == 0 || revision < at {
+			at = revision
+		}
+		f.mu.Lock()
+		f.o.Changed(f.replica.Reset(prefix, items, revision))
+		f.mu.Unlock()
+	}
+	f.mu.Lock()
+	f.replica.Complete(at)
+	f.mu.Unlock()
+	return nil
+}
+
+func (f *Follower) listPrefix(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
+	var items []store.Item
+	var at store.Revision
+	after := ""
+	for {
+		page, err := f.page(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+		}
+		if at == 0 {
+			at = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, at, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+func (f *Follower) page(ctx context.Context, prefix, after string) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return f.o.Store.Range(ctx, prefix, after)
+}
+
+// watch waits for changes of anything in the store: one call serves all prefixes.
+func (f *Follower) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	changes, err := f.o.Store.Watch(ctx, "", f.Revision(), watchWait)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.o.Changed(f.replica.Apply(changes.List, changes.Revision))
+	return nil
+}
--- /dev/null
+++ b/core/placing/calls.go
@@ -0,0 +1,85 @@
+package placing
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+const (
+	// reportLifetime is how long an upstream's word on its load is used; its neighbours' load changes within that time.
+	reportLifetime = 500 * time.Millisecond
+	// remoteCall prefers the own failure domain: bytes and round trips between domains cost, in calls under way.
+	remoteCall = 0.35
+	// suspectCall puts upstreams of a failure domain that is being lost behind others, in calls under way.
+	suspectCall = 100
+)
+
+// Calls chooses upstreams for short calls: the one with the least work for its speed. It is not safe for concurrent use.
+type Calls struct {
+	domain ids.FailureDomain
+	own    map[ids.VM]int
+	report map[ids.VM]callReport
+}
+
+type callReport struct {
+	at       time.Time
+	busy     int
+	slowness float64
+	// ownThen is how many of the busy ones were this router's.
+	ownThen int
+}
+
+// NewCalls returns a chooser for a router of the given failure domain.
+func NewCalls(domain ids.FailureDomain) *Calls {
+	return &Calls{domain: domain, own: map[ids.VM]int{}, report: map[ids.VM]callReport{}}
+}
+
+// Start notes a call; End that it is over.
+func (c *Calls) Start(id ids.VM) { c.own[id]++ }
+
+// End notes that a call is over.
+func (c *Calls) End(id ids.VM) {
+	c.own[id]--
+	if c.own[id] <= 0 {
+		delete(c.own, id)
+	}
+}
+
+// Report takes an upstream's word on its load.
+func (c *Calls) Report(id ids.VM, busy int, slowness float64, now time.Time) {
+	c.report[id] = callReport{at: now, busy: busy, slowness: slowness, ownThen: c.own[id]}
+}
+
+// Pick returns the candidate with the least work for its slots and speed.
+func (c *Calls) Pick(list []Candidate, slots map[ids.VM]int, now time.Time) (Candidate, bool) {
+	var best Candidate
+	var bestCost float64
+	found := false
+	for _, u := range list {
+		cost := c.cost(u, max(1, slots[u.ID]), now)
+		if !found || cost < bestCost {
+			best, bestCost, found = u, cost, true
+		}
+	}
+	return best, found
+}
+
+func (c *Calls) cost(u Candidate, slots int, now time.Time) float64 {
+	work := float64(c.own[u.ID])
+	slowness := 1.0
+	if r, known := c.report[u.ID]; known && now.Sub(r.at) < reportLifetime {
+		work += float64(max(0, r.busy-r.ownThen))
+		slowness = max(0.5, r.slowness)
+	}
+	// Work beyond the slots waits for a whole call to end.
+	over := max(0, work+1-float64(slots))
+	cost := slowness * (1 + work/float64(slots) + 2*over/float64(slots))
+	if u.Domain != c.domain {
+		cost += remoteCall
+	}
+	if u.Suspect {
+		cost += suspectCall
+	}
+	return cost
+}
--- /dev/null
+++ b/core/placing/ledger.go
@@ -0,0 +1,108 @@
+// Package placing decides at which engine a generation runs and which engine keeps the copy of its memory.
+//
+// It adds up the work that this router has placed, what other routers say they have placed, and what the engine itself last
+// reported, and predicts from that when a prompt would be read.
+//
+// # Usage
+//
+//	id, ok := book.Pick(candidates, placing.Need{Prompt: 5000, Output: 600}, now)
+//	ticket := book.Place(id, need, now)
+//	ticket.FirstEvent()
+//	ticket.End()
+package placing
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+// Need is the size of a generation in tokens.
+type Need struct {
+	// Prompt is what has to be read, Context what is already in the engine's memory, Output the expected rest.
+	Prompt  int
+	Context int
+	Output  int
+}
+
+// Tokens is the memory that the generation takes up at its end.
+func (n Need) Tokens() int { return n.Prompt + n.Context + n.Output }
+
+// newsLifetime is how long a peer's word on its work is believed without renewal; peers renew it several times a second.
+const newsLifetime = 2 * time.Second
+
+// Ledger adds up the work at each engine. It is not safe for concurrent use.
+type Ledger struct {
+	own   map[ids.VM]Work
+	peers map[ids.VM]news
+	// slowness is the measured time to the first event against the predicted one.
+	slowness map[ids.VM]float64
+}
+
+type news struct {
+	at   time.Time
+	work map[ids.VM]Work
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{own: map[ids.VM]Work{}, peers: map[ids.VM]news{}, slowness: map[ids.VM]float64{}}
+}
+
+// Own returns the work that this router has under way.
+func (l *Ledger) Own() map[ids.VM]Work { return l.own }
+
+// Peer takes another router's word on all its work.
+func (l *Ledger) Peer(router ids.VM, work map[ids.VM]Work, now time.Time) {
+	l.peers[router] = news{at: now, work: work}
+}
+
+// ForgetPeer drops the work of a router that has ended.
+func (l *Ledger) ForgetPeer(router ids.VM) { delete(l.peers, router) }
+
+// At returns all known work at an engine.
+func (l *Ledger) At(id ids.VM, now time.Time) Work {
+	sum := l.own[id]
+	for _, n := range l.peers {
+		if now.Sub(n.at) <= newsLifetime {
+			sum = sum.Add(n.work[id])
+		}
+	}
+	return sum
+}
+
+// Slowness returns how long work takes at an engine against the usual.
+func (l *Ledger) Slowness(id ids.VM) float64 {
+	if s, known := l.slowness[id]; known {
+		return s
+	}
+	return 1
+}
+
+// slownessWeight is the weight of a new measure in the running mean; a neighbour's load lasts for some requests.
+const slownessWeight = 0.3
+
+// Measured takes the time that reading a prompt took against the predicted one.
+func (l *Ledger) Measured(id ids.VM, taken, predicted time.Duration) {
+	if predicted <= 0 {
+		return
+	}
+	ratio := min(4, max(0.25, float64(taken)/float64(predicted)*l.Slowness(id)))
+	l.slowness[id] = l.Slowness(id)*(1-slownessWeight) + ratio*slownessWeight
+}
+
+// Forget drops what is known of an engine's past when it has started anew.
+func (l *Ledger) Forget(id ids.VM) {
+	delete(l.slowness, id)
+	delete(l.own, id)
+}
+
+// add changes the own work at an engine; an engine without work is dropped.
+func (l *Ledger) add(id ids.VM, w Work) {
+	sum := l.own[id].Add(w)
+	if sum.Running <= 0 && sum.Memory <= 0 {
+		delete(l.own, id)
+		return
+	}
+	l.own[id] = sum
+}
--- /dev/null
+++ b/core/placing/pick.go
@@ -0,0 +1,87 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrylug.dev/core/ids"
+)
+
+const (
+	// runningCost is what one more running generation costs: its step grows for all, and a loss hits more callers.
+	runningCost = 25 * time.Millisecond
+	// remoteCost prefers the own failure domain among equals.
+	remoteCost = 20 * time.Millisecond
+	// spread keeps routers with equal knowledge from choosing the same engine at once.
+	spread = 40 * time.Millisecond
+	// crowdedCost puts engines without room behind all others.
+	crowdedCost = 10 * time.Second
+	// suspectCost puts engines of a failure domain that is being lost behind others.
+	suspectCost = 3 * time.Second
+)
+
+// Candidate is an engine that may be chosen.
+type Candidate struct {
+	ID      ids.VM
+	Domain  ids.FailureDomain
+	Suspect bool
+}
+
+// Picker chooses engines for one router.
+type Picker struct {
+	Router ids.VM
+	Domain ids.FailureDomain
+	*Ledger
+}
+
+// Pick returns the candidate at which the first event is predicted earliest, and that time.
+func (p Picker) Pick(list []Candidate, n Need, m Model, now time.Time) (Candidate, time.Duration, bool) {
+	var best Candidate
+	var bestCost, bestFirst time.Duration
+	found := false
+	for _, c := range list {
+		w := p.At(c.ID, now)
+		first := m.FirstEvent(w, n.Prompt, p.Slowness(c.ID))
+		cost := first + time.Duration(w.Running)*runningCost + p.bias(c)
+		if !m.Fits(w, n.Tokens()) {
+			cost += crowdedCost
+		}
+		if !found || cost < bestCost {
+			best, bestCost, bestFirst, found = c, cost, first, true
+		}
+	}
+	return best, bestFirst, found
+}
+
+// PickCopy returns the engine that keeps the copy of a generation's memory: one of another failure domain with room.
+func (p Picker) PickCopy(list []Candidate, at Candidate, n Need, m Model, now time.Time) (Candidate, bool) {
+	var best Candidate
+	bestMemory := 0
+	found := false
+	for _, c := range list {
+		if c.Domain == at.Domain || c.Suspect {
+			continue
+		}
+		w := p.At(c.ID, now)
+		if !m.Fits(w, n.Tokens()) {
+			continue
+		}
+		memory := w.Memory + w.Running*n.Tokens() + int(p.bias(c)/spread)
+		if !found || memory < bestMemory {
+			best, bestMemory, found = c, memory, true
+		}
+	}
+	return best, found
+}
+
+func (p Picker) bias(c Candidate) time.Duration {
+	cost := time.Duration(xxhash.Sum64String(string(p.Router)+"/"+string(c.ID)) % uint64(spread))
+	if c.Domain != p.Domain {
+		cost += remoteCost
+	}
+	if c.Suspect {
+		cost += suspectCost
+	}
+	return cost
+}
--- /dev/null
+++ b/core/placing/ticket.go
@@ -0,0 +1,39 @@
+package placing
+
+import "bilberrylug.dev/core/ids"
+
+// Ticket is one generation that was placed, with the copy of its memory.
+type Ticket struct {
+	ledger *Ledger
+	engine ids.VM
+	work   Work
+	copyAt ids.VM
+	copied Work
+}
+
+// Place notes a generation at an engine; copyAt, if not empty, keeps the copy of its memory.
+func (l *Ledger) Place(engine ids.VM, n Need, copyAt ids.VM) *Ticket {
+	t := &Ticket{ledger: l, engine: engine, work: Work{Unread: n.Prompt, Running: 1, Memory: n.Tokens()}, copyAt: copyAt}
+	l.add(engine, t.work)
+	if copyAt != "" {
+		t.copied = Work{Memory: n.Tokens()}
+		l.add(copyAt, t.copied)
+	}
+	return t
+}
+
+// Read notes that the prompt has been read.
+func (t *Ticket) Read() {
+	t.ledger.add(t.engine, Work{Unread: -t.work.Unread})
+	t.work.Unread = 0
+}
+
+// End takes the generation out of the ledger.
+func (t *Ticket) End() {
+	t.ledger.add(t.engine, Work{Unread: -t.work.Unread, Running: -t.work.Running, Memory: -t.work.Memory})
+	t.work = Work{}
+	if t.copyAt != "" {
+		t.ledger.add(t.copyAt, Work{Memory: -t.copied.Memory})
+		t.copyAt = ""
+	}
+}
--- a/core/process/run.go
+++ b/core/process/run.go
@@ -2,7 +2,9 @@
 //
 // # Usage
 //
-//	func main() { os.Exit(process.Run("bilberrylug-agent", "run the agent beside one upstream", run)) }
+//	func main() {
+//		os.Exit(process.Run("bilberrylug-agent", "run the agent beside one upstream", process.Program{Serve: process.With(serve)}))
+//	}
 package process
 
 import (
@@ -17,25 +19,52 @@
 	"bilberrylug.dev/core/settings"
 )
 
-// Run reads the settings that the command line names and calls serve, whose context ends with SIGTERM or an interrupt.
-// It returns the exit code.
-func Run[T settings.Checked](name, usage string, serve func(ctx context.Context, cfg T) error) int {
+// Program is what the command line starts: the program itself, or a named command of it.
+type Program struct {
+	Name  string
+	Usage string
+	Serve func(ctx context.Context, path string) error
+}
+
+// With returns a Serve that reads the settings before it serves.
+func With[T settings.Checked](serve func(ctx context.Context, cfg T) error) func(ctx context.Context, path string) error {
+	return func(ctx context.Context, path string) error {
+		cfg, err := settings.Load[T](path)
+		if err != nil {
+			return err
+		}
+		return serve(ctx, cfg)
+	}
+}
+
+// Run reads the settings that the command line names and serves until SIGTERM or an interrupt ends the context. It returns
+// the exit code.
+func Run(name, usage string, main Program, commands ...Program) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	command := &cli.Command{
-		Name: name, Usage: usage,
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "path of the settings file"}},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			cfg, err := settings.Load[T](c.String("settings"))
-			if err != nil {
-				return err
-			}
-			return serve(ctx, cfg)
-		},
+	root := command(main)
+	root.Name = name
+	root.Usage = usage
+	for _, c := range commands {
+		root.Commands = append(root.Commands, command(c))
 	}
-	if err := command.Run(ctx, os.Args); err != nil {
+	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return 0
 }
+
+func command(p Program) *cli.Command {
+	return &cli.Command{
+		Name: p.Name, Usage: p.Usage,
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Local: true, Usage: "path of the settings file"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			path := c.String("settings")
+			if path == "" {
+				return cli.Exit("--settings is missing: give the path of the settings file", 1)
+			}
+			return p.Serve(ctx, path)
+		},
+	}
+}
--- a/core/settings/vm.go
+++ b/core/settings/vm.go
@@ -14,7 +14,7 @@
 	Routers       []string          `yaml:"routers"`
 	Platform      Platform          `yaml:"platform"`
 	TLS           TLS               `yaml:"tls"`
-	LogLevel      string            `yaml:"log_level"`
+	Logging       `yaml:",inline"`
 }
 
 // Platform says where the platform's service is and which share of its rates the process may use.
--- /dev/null
+++ b/router/agents.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/router/app"
+)
+
+// serveAgents runs a router whose upstreams have an agent beside them.
+func serveAgents(ctx context.Context, cfg app.Settings) error {
+	a, err := app.New(cfg, clockwork.NewRealClock(), event.New(os.Stderr, cfg.Level(), string(cfg.ID)))
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
+}
--- /dev/null
+++ b/router/direct.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/platform"
+	"bilberrylug.dev/router/direct"
+	"bilberrylug.dev/router/upstream"
+)
+
+// #include <stdlib.h>
+import "C" // The platform runs only programs that are linked to the C library.
+
+// serveDirect runs a router that speaks to the platform's upstreams itself.
+func serveDirect(ctx context.Context, cfg direct.Settings) error {
+	out := event.NewQueue(os.Stdout)
+	g := group.New(context.Background())
+	g.Go(out.Run)
+	defer g.Stop()
+	log := event.New(out, cfg.Level(), string(cfg.VM))
+	s := platform.NewStore(cfg.Store.Address, upstream.Dial)
+	a := direct.New(cfg, direct.Options{
+		Clock: clockwork.NewRealClock(), Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial, ForgetStore: s.Forget,
+		Decode: direct.Decoder{Layout: platform.Layout, Config: platform.Config, Upstream: platform.Upstream},
+	})
+	return a.Run(ctx)
+}
--- /dev/null
+++ b/router/direct/world.go
@@ -0,0 +1,193 @@
+package direct
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/core/budget"
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/metric"
+	"bilberrylug.dev/core/mirror"
+	"bilberrylug.dev/core/placing"
+	"bilberrylug.dev/core/routing"
+	"bilberrylug.dev/core/store"
+	"bilberrylug.dev/router/upstream"
+)
+
+// returnTime is how long living upstreams may take to register anew after an outage of the store.
+const returnTime = 2 * time.Second
+
+// Decoder decodes what other writers keep in the store.
+type Decoder struct {
+	Layout   mirror.Layout
+	Config   func(value []byte) (*routing.Config, error)
+	Upstream func(key string, value []byte) (fleet.Entry, error)
+}
+
+// world is what the router believes of its surroundings.
+type world struct {
+	clock   clockwork.Clock
+	log     *event.Log
+	metrics *metric.Registry
+	decode  Decoder
+	pool    *upstream.Pool
+
+	config atomic.Pointer[routing.Config]
+
+	mu     sync.Mutex
+	fleet  *fleet.Directory
+	picker placing.Picker
+	calls  *placing.Calls
+	budget *budget.Budget
+	// routers is the number of routers that share the limits, this one included.
+	routers int
+	// running holds the streams under way, by upstream.
+	running map[ids.VM]map[*stream]bool
+}
+
+func newWorld(cfg Settings, o Options) *world {
+	return &world{
+		clock: o.Clock, log: o.Log, metrics: metric.New(), decode: o.Decode,
+		pool:   upstream.NewPool(o.Dial, o.Clock),
+		fleet:  fleet.New(returnTime),
+		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Ledger: placing.NewLedger()},
+		calls:  placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
+		routers: minRouters, running: map[ids.VM]map[*stream]bool{},
+	}
+}
+
+// minRouters is the number of routers that is assumed before the others are known.
+const minRouters = 4
+
+// changed takes news of the store.
+func (w *world) changed(news []store.Change) {
+	for _, c := range news {
+		switch {
+		case c.Key == w.decode.Layout.Config:
+			w.configChanged(c)
+		case hasPrefix(c.Key, w.decode.Layout.Upstreams):
+			w.upstreamChanged(c)
+		}
+	}
+}
+
+func (w *world) configChanged(c store.Change) {
+	if c.Removed {
+		return
+	}
+	cfg, err := w.decode.Config(c.Value)
+	if err != nil {
+		w.log.Write(event.ConfigUnreadable, "store_revision", uint64(c.Modified), "error", err.Error())
+		return
+	}
+	if old := w.config.Load(); old != nil && old.Version >= cfg.Version {
+		return
+	}
+	w.config.Store(cfg)
+	w.metrics.Gauge("config_version").Update(int64(cfg.Version))
+	w.log.Write(event.ConfigInForce, "version", uint64(cfg.Version), "store_revision", uint64(c.Modified))
+}
+
+func (w *world) upstreamChanged(c store.Change) {
+	now := w.clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if c.Removed {
+		id := ids.VM(c.Key[len(w.decode.Layout.Upstreams):])
+		w.fleet.Remove(id, now)
+		w.log.Write(event.UpstreamChanged, "upstream", id, "state", "entry removed", "store_revision", uint64(c.Modified))
+		return
+	}
+	e, err := w.decode.Upstream(c.Key, c.Value)
+	if err != nil {
+		w.log.Write(event.EntryUnreadable, "key", c.Key, "error", err.Error(), "store_revision", uint64(c.Modified))
+		return
+	}
+	old, known := w.fleet.Get(e.ID)
+	w.fleet.Put(e)
+	if known && old.Entry == e {
+		return
+	}
+	w.log.Write(event.UpstreamChanged, "upstream", e.ID, "service", e.Service, "address", e.Address,
+		"failure_domain", e.Domain, "draining", e.Draining, "started", e.Started, "store_revision", uint64(c.Modified))
+}
+
+func (w *world) storeReached(reached bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fleet.StoreReached(reached, w.clock.Now())
+}
+
+// expire drops the upstreams that are gone after an outage.
+func (w *world) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range w.fleet.Expire(w.clock.Now()) {
+		w.log.Write(event.UpstreamChanged, "upstream", id, "state", "not back after the store's outage")
+	}
+	w.pool.Sweep()
+}
+
+// lost takes an upstream out of use and wakes the streams that wait for it or for others of its failure domain.
+func (w *world) lost(u fleet.Upstream, reason string) {
+	now := w.clock.Now()
+	w.mu.Lock()
+	known, ok := w.fleet.Get(u.ID)
+	fresh := ok && known.Started == u.Started && known.LostAt().IsZero()
+	w.fleet.Lost(u.ID, u.Started, now)
+	suspect := w.fleet.Suspect(u.Domain, now)
+	var woken []*stream
+	for id, list := range w.running {
+		other, known := w.fleet.Get(id)
+		if id != u.ID && (!suspect || !known || other.Domain != u.Domain) {
+			continue
+		}
+		for s := range list {
+			woken = append(woken, s)
+		}
+	}
+	w.mu.Unlock()
+	w.pool.Drop(u.Address)
+	if fresh {
+		w.log.Write(event.UpstreamLost, "upstream", u.ID, "failure_domain", u.Domain, "reason", reason, "domain_suspect", suspect)
+		w.metrics.Counter("upstreams_lost").Inc(1)
+	}
+	for _, s := range woken {
+		s.wake()
+	}
+}
+
+// found puts an upstream back in use.
+func (w *world) found(u fleet.Upstream) {
+	w.mu.Lock()
+	w.fleet.Found(u.ID, u.Started)
+	w.mu.Unlock()
+	w.log.Write(event.UpstreamFound, "upstream", u.ID, "lost_for", w.clock.Since(u.LostAt()).String())
+}
+
+// forget drops an upstream whose address answers as another one.
+func (w *world) forget(u fleet.Upstream) {
+	w.mu.Lock()
+	w.fleet.Forget(u.ID, u.Started)
+	w.mu.Unlock()
+	w.pool.Drop(u.Address)
+	w.log.Write(event.UpstreamLost, "upstream", u.ID, "reason", "another upstream has its address")
+}
+
+// takeRepeat draws on the budget of repeats.
+func (w *world) takeRepeat(s ids.Service) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ok := w.budget.Take(s, w.clock.Now(), w.routers)
+	if !ok {
+		w.metrics.Counter("repeats_denied", "service", string(s)).Inc(1)
+	}
+	return ok
+}
+
+func hasPrefix(key, prefix string) bool { return len(key) > len(prefix) && key[:len(prefix)] == prefix }
