Watches are answered within 1.4 s or the store is listed anew; hangups reload the settings; a prompt has a home engine

Cause of the exits: SIGHUP ended the process. The home of a prompt is a trial: prompts read in vain have not fallen.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -48,6 +48,9 @@
 	return &Budget{limits: l, start: now, by: map[ids.Service]*window{}}
 }
 
+// SetLimits replaces the limits; what was counted stays.
+func (b *Budget) SetLimits(l Limits) { b.limits = l }
+
 // Request counts a caller's request.
 func (b *Budget) Request(s ids.Service, now time.Time) {
 	w := b.window(s, now)
--- a/core/event/log.go
+++ b/core/event/log.go
@@ -15,13 +15,16 @@
 
 // Log writes events as JSON lines.
 type Log struct {
-	slog *slog.Logger
+	slog  *slog.Logger
+	level *slog.LevelVar
 }
 
 // New returns a log of the VM's process; lines below the level are left out.
 func New(w io.Writer, level slog.Level, vm string) *Log {
-	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
-	return &Log{slog.New(handler).With("vm", vm)}
+	variable := &slog.LevelVar{}
+	variable.Set(level)
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: variable})
+	return &Log{slog.New(handler).With("vm", vm), variable}
 }
 
 // Write writes one event with its attributes as key and value pairs.
@@ -29,5 +32,8 @@
 	l.slog.With("event", k.Number).Log(context.Background(), k.Level, k.Title, args...)
 }
 
+// SetLevel changes the level below which lines are left out.
+func (l *Log) SetLevel(level slog.Level) { l.level.Set(level) }
+
 // Standard returns a logger for libraries that want one of the standard package; its lines are warnings.
 func (l *Log) Standard() *log.Logger { return slog.NewLogLogger(l.slog.Handler(), slog.LevelWarn) }
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	// watchWait is how long one watch is kept waiting. It stays well below the history that a store keeps.
-	watchWait = 8 * time.Second
-	// watchSlack is how much later than its wait a watch's answer may come before the connection counts as silent.
-	watchSlack = 700 * time.Millisecond
+	// watchWait is how long one watch is kept waiting. A store that forgets its history may leave watches without an answer;
+	// with the slack and one listing, changes are still seen within the two seconds in which they must be in force.
+	watchWait = 900 * time.Millisecond
+	// watchSlack is how much later than its wait a watch's answer may come before it counts as lost; a slow store takes some
+	// hundred milliseconds.
+	watchSlack = 450 * time.Millisecond
 	// listTimeout bounds one page of a listing; a slow store takes some hundred milliseconds.
 	listTimeout = 1500 * time.Millisecond
 	// gather is the pause between watches in which changes are gathered, since each call is counted.
@@ -90,6 +92,10 @@
 			listed = false
 			continue
 		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			// A watch without an answer may have missed changes.
+			listed = false
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -102,10 +108,14 @@
 		} else {
 			backoff = firstBackoff
 		}
-		select {
-		case <-ctx.Done():
-		case <-f.o.Clock.After(pause):
-		}
+		f.pause(ctx, pause)
+	}
+}
+
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.o.Clock.After(d):
 	}
 }
 
--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -23,6 +23,8 @@
 	Prompt  int
 	Context int
 	Output  int
+	// Affinity names the prompt; empty means that it is not known.
+	Affinity string
 }
 
 // Tokens is the memory that the generation takes up at its end.
--- a/core/process/run.go
+++ b/core/process/run.go
@@ -26,14 +26,26 @@
 	Serve func(ctx context.Context, path string) error
 }
 
+// Hangups returns a channel that reports each SIGHUP, which then no longer ends the process.
+func Hangups() <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
 // With returns a Serve that reads the settings before it serves.
 func With[T settings.Checked](serve func(ctx context.Context, cfg T) error) func(ctx context.Context, path string) error {
+	return WithPath(func(ctx context.Context, cfg T, _ string) error { return serve(ctx, cfg) })
+}
+
+// WithPath is [With] for a program that reads its settings again later.
+func WithPath[T settings.Checked](serve func(ctx context.Context, cfg T, path string) error) func(ctx context.Context, path string) error {
 	return func(ctx context.Context, path string) error {
 		cfg, err := settings.Load[T](path)
 		if err != nil {
 			return err
 		}
-		return serve(ctx, cfg)
+		return serve(ctx, cfg, path)
 	}
 }
 
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -34,6 +34,8 @@
 	// Tokens is the length of the prompt, MaxOutput the bound of what is generated.
 	Tokens    int
 	MaxOutput int
+	// Name identifies the prompt: equal prompts have equal names.
+	Name string
 }
 
 // Attempt is one sending of a request to an upstream.
--- a/router/direct.go
+++ b/router/direct.go
@@ -8,6 +8,7 @@
 
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/process"
 	"bilberrylug.dev/platform"
 	"bilberrylug.dev/router/direct"
 	"bilberrylug.dev/router/upstream"
@@ -17,7 +18,8 @@
 import "C" // The platform runs only programs that are linked to the C library.
 
 // serveDirect runs a router that speaks to the platform's upstreams itself.
-func serveDirect(ctx context.Context, cfg direct.Settings) error {
+func serveDirect(ctx context.Context, cfg direct.Settings, path string) error {
+	hangups := process.Hangups()
 	out := event.NewQueue(os.Stdout)
 	g := group.New(context.Background())
 	g.Go(out.Run)
@@ -28,5 +30,6 @@
 		Clock: clockwork.NewRealClock(), Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial, ForgetStore: s.Forget,
 		Decode: direct.Decoder{Layout: platform.Layout, Config: platform.Config, Upstream: platform.Upstream},
 	})
+	g.Go(func(ctx context.Context) { a.Reload(ctx, path, hangups) })
 	return a.Run(ctx)
 }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -74,6 +74,7 @@
 	w := newWorld(cfg, o)
 	g := group.New(context.Background())
 	stop := &stopper{clock: o.Clock, longWork: stopNotice}
+	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
 	a := &App{cfg: cfg, o: o, world: w, group: g, stop: stop}
 	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g}, stop: stop}
 	a.follower = mirror.NewFollower(mirror.Options{
@@ -85,9 +86,7 @@
 
 // Run serves until the context ends, then finishes what runs and returns.
 func (a *App) Run(ctx context.Context) error {
-	if a.cfg.MemoryMegabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(a.cfg.MemoryMegabytes<<20)))
-	}
+	setMemoryLimit(a.cfg)
 	callers := &http.Server{
 		Handler: a.edge, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: a.o.Log.Standard(),
@@ -125,6 +124,12 @@
 	return err
 }
 
+func setMemoryLimit(cfg Settings) {
+	if cfg.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryMegabytes<<20)))
+	}
+}
+
 func serve(s *http.Server, l net.Listener, failed chan<- error) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		failed <- fault.Wrap(fault.Internal, err, "serve %s", l.Addr())
@@ -143,8 +148,7 @@
 func (a *App) planStop() {
 	a.stop.begin()
 	a.o.Log.Write(event.Stopping, "active", a.stop.active.Load())
-	limit := time.Duration(a.cfg.StopSeconds*float64(time.Second)) - stopMargin
-	for a.stop.since() < limit {
+	for a.stop.since() < time.Duration(a.stop.limit.Load())-stopMargin {
 		if a.stop.since() > stopNotice && a.stop.active.Load() == 0 {
 			return
 		}
--- a/router/direct/stopper.go
+++ b/router/direct/stopper.go
@@ -14,6 +14,8 @@
 	active atomic.Int64
 	// longWork is the time from the stop's begin in which long work is still taken on.
 	longWork time.Duration
+	// limit is the time that a planned stop may take, in nanoseconds.
+	limit atomic.Int64
 }
 
 func (s *stopper) enter() { s.active.Add(1) }
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -52,7 +52,7 @@
 func (x *exchange) stream() {
 	s := &stream{
 		exchange: x, model: x.engineModel(), last: x.req.LastEvent, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
-		need: placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput},
+		need: placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Affinity: x.req.Prompt.Name},
 	}
 	for {
 		err := s.try()
--- a/router/main.go
+++ b/router/main.go
@@ -14,5 +14,5 @@
 
 func main() {
 	os.Exit(process.Run("bilberrylug-router", "run a router on an entry VM", process.Program{Serve: process.With(serveAgents)},
-		process.Program{Name: "direct", Usage: "run a router that speaks to upstreams itself", Serve: process.With(serveDirect)}))
+		process.Program{Name: "direct", Usage: "run a router that speaks to upstreams itself", Serve: process.WithPath(serveDirect)}))
 }
