Copies of a generation's memory are renewed after the loss of their host, and kept out of the domain that is being lost

Cause: streams whose copy had been in a lost failure domain read their prompt again at their own loss, and new copies went to the domain that was just being lost.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -28,6 +28,8 @@
 	RequestRefused    = Kind{"EV4302", slog.LevelInfo, "request refused", "See the fault's remedy."}
 	RequestAttempt    = Kind{"EV4303", slog.LevelInfo, "request sent to an upstream", noAction}
 	RequestAttemptEnd = Kind{"EV4304", slog.LevelInfo, "upstream's run of a request ended", noAction}
+	CopyOrdered       = Kind{"EV4305", slog.LevelInfo, "copy of a generation's memory made", noAction}
+	CopyFailed        = Kind{"EV4306", slog.LevelInfo, "copy of a generation's memory failed", "None; it is tried again while the generation runs."}
 	Draining          = Kind{"EV3003", slog.LevelInfo, "upstream is leaving", "Stop the VM when its running work is zero."}
 	AttemptStarted    = Kind{"EV4001", slog.LevelDebug, "attempt started", noAction}
 	AttemptLost       = Kind{"EV4002", slog.LevelWarn, "attempt lost", "Check the named upstream; the answer is resumed elsewhere."}
@@ -52,7 +54,7 @@
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamFound, PeerChanged,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
-	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnd,
+	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnd, CopyOrdered, CopyFailed,
 	CallUnknown, CallSettled, LedgerWriteLost,
 	LeaseHeld, LeaseLost, OrderGiven, OrderRefused,
 }
--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -48,8 +48,13 @@
 	return &Directory{returnTime: returnTime, upstreams: map[ids.VM]*Upstream{}, losses: map[ids.FailureDomain][]time.Time{}}
 }
 
-// Put takes an upstream's entry.
+// Put takes an upstream's entry. Others that were registered at its address have ended.
 func (d *Directory) Put(e Entry) {
+	for id, u := range d.upstreams {
+		if id != e.ID && u.Address == e.Address {
+			delete(d.upstreams, id)
+		}
+	}
 	old, known := d.upstreams[e.ID]
 	if !known || old.Started != e.Started || old.Address != e.Address {
 		d.upstreams[e.ID] = &Upstream{Entry: e}
@@ -138,6 +143,11 @@
 	return n >= domainLosses
 }
 
+// InDomain returns the upstreams of a failure domain that may be given work.
+func (d *Directory) InDomain(domain ids.FailureDomain) []Upstream {
+	return d.list(func(u *Upstream) bool { return u.Domain == domain && u.InUse() })
+}
+
 // Get returns an upstream.
 func (d *Directory) Get(id ids.VM) (Upstream, bool) {
 	u, known := d.upstreams[id]
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -23,7 +23,7 @@
 	// listTimeout bounds one page of a listing; a slow store takes some hundred milliseconds.
 	listTimeout = 1500 * time.Millisecond
 	// gather is the pause between watches in which changes are gathered, since each call is counted.
-	gather = 30 * time.Millisecond
+	gather = 100 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call, in which all routers share the store's rate.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -53,15 +53,24 @@
 	Resumes   bool
 }
 
-// Copy names a copy of a generation's memory.
+// Copy names a copy of a generation's memory as the upstreams know it.
 type Copy struct {
+	// Address is that of the upstream that made the name, Name what it called the copy.
 	Address string
-	Run     ids.Request
+	Name    string
 }
 
 // None tells that no copy is named.
 func (c Copy) None() bool { return c.Address == "" }
 
+// Call is a call of the router's own at an upstream.
+type Call struct {
+	Method string
+	Target string
+	Header http.Header
+	Body   []byte
+}
+
 // Reply is what an upstream's response header says of the run.
 type Reply struct {
 	Request ids.Request
@@ -92,6 +101,10 @@
 	Prepare(h http.Header, a Attempt)
 	// Reply decodes a response's header.
 	Reply(r *http.Response) Reply
+	// CopyCall returns the call by which an upstream copies the memory of a run to another upstream, while the run goes on.
+	CopyCall(run ids.Request, to string) Call
+	// CopyName decodes the answer of that call.
+	CopyName(body []byte) (string, error)
 	// Refuse sets the headers of the router's own refusal.
 	Refuse(h http.Header, req Request, retryAfter time.Duration)
 }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -21,6 +21,7 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/store"
@@ -76,7 +77,8 @@
 	stop := &stopper{clock: o.Clock, longWork: stopNotice}
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
 	a := &App{cfg: cfg, o: o, world: w, group: g, stop: stop}
-	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g}, stop: stop}
+	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop}
+	w.check = a.edge.probes.check
 	a.follower = mirror.NewFollower(mirror.Options{
 		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Reached: w.storeReached,
 		Silent: o.ForgetStore,
--- a/router/direct/probe.go
+++ b/router/direct/probe.go
@@ -8,6 +8,7 @@
 
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/router/upstream"
 )
 
@@ -25,6 +26,8 @@
 	*world
 	group  *group.Group
 	flight singleflight.Group
+	// checked is when an upstream was last checked aside.
+	checked map[ids.VM]time.Time
 }
 
 // alive opens a connection to the upstream; callers that ask at the same time share the answer.
@@ -45,6 +48,13 @@
 
 // check probes an upstream aside and takes it out of use if it does not answer.
 func (p *prober) check(u fleet.Upstream) {
+	p.mu.Lock()
+	recent := p.clock.Since(p.checked[u.ID]) < probeTime
+	p.checked[u.ID] = p.clock.Now()
+	p.mu.Unlock()
+	if recent {
+		return
+	}
 	p.group.Go(func(context.Context) {
 		if !p.alive(u) {
 			p.lost(u, "probe")
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -26,14 +26,27 @@
 	resumes bool
 	// delivered counts the events that were passed on.
 	delivered int
-	// copyAt is the upstream that holds a copy of the generation's memory.
-	copyAt *fleet.Upstream
+	// copied is the copy of the generation's memory from which the next run goes on, if there is one.
+	copied *memoryCopy
+	// lostIn holds the failure domains in which runs of this generation were lost.
+	lostIn map[ids.FailureDomain]bool
+	// pause is the longest pause between events, firstAfter the time to the first one.
+	pause      time.Duration
+	firstAfter time.Duration
+	lastAt     time.Time
 	tried  map[ids.VM]bool
 	// failed is the last answer by which an upstream failed the request.
 	failed *answer
 
-	mu   sync.Mutex
-	conn connection
+	mu     sync.Mutex
+	conn   connection
+	copier *copier
+}
+
+// memoryCopy is a copy of a generation's memory at another upstream.
+type memoryCopy struct {
+	at   fleet.Upstream
+	name relay.Copy
 }
 
 // run is one sending of the generation.
@@ -52,6 +65,7 @@
 func (x *exchange) stream() {
 	s := &stream{
 		exchange: x, model: x.engineModel(), last: x.req.LastEvent, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
+		lostIn: map[ids.FailureDomain]bool{},
 		need: placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Affinity: x.req.Prompt.Name},
 	}
 	for {
@@ -134,9 +148,12 @@
 	s.attempts++
 	s.logAttempt(r.at.ID, "domain", r.at.Domain, "predicted", r.predicted.String(), "continues_copy", !r.from.None(),
 		"copy_at", r.copyID(), "last_event", s.last, "reused", conn.Reused())
-	s.setConn(conn)
+	c := newCopier(s, r)
+	s.setRun(conn, c)
+	before := s.delivered
 	err = s.follow(conn, r)
-	s.setConn(nil)
+	s.setRun(nil, nil)
+	c.stop()
 	s.logAttemptEnd(r.at.ID, err, "events", s.delivered, "last_event", s.last)
 	if err == nil {
 		conn.Done()
@@ -144,6 +161,10 @@
 	}
 	conn.Close()
 	s.afterRun(r, err)
+	if s.delivered > before {
+		// An upstream makes copies once it has read the prompt.
+		s.copied = c.copy()
+	}
 	return err
 }
 
@@ -153,13 +174,12 @@
 	switch {
 	case s.callerGone():
 	case errors.Is(err, errNotRun), errors.Is(err, errMoved):
-		s.copyAt = nil
 	case errors.Is(err, errDead):
+		s.lostIn[r.at.Domain] = true
 		s.lost(r.at, err.Error())
-		s.copyAt = r.backup
 	default:
+		s.lostIn[r.at.Domain] = true
 		s.probes.check(r.at)
-		s.copyAt = r.backup
 	}
 }
 
@@ -171,13 +191,13 @@
 	list, byID := s.candidates(s.tried, now)
 	r := &run{began: now}
 	need := s.need
-	if s.copyAt != nil {
-		if u, known := s.fleet.Get(s.copyAt.ID); known && u.Started == s.copyAt.Started && u.InUse() {
+	if c := s.copied; c != nil {
+		if u, known := s.fleet.Get(c.at.ID); known && u.Started == c.at.Started && u.InUse() {
 			r.at = u
-			r.from = relay.Copy{Address: u.Address, Run: s.req.ID}
+			r.from = c.name
 			need = placing.Need{Context: need.Prompt, Output: need.Output}
 		}
-		s.copyAt = nil
+		s.copied = nil
 	}
 	if r.from.None() {
 		c, predicted, ok := s.picker.Pick(list, need, s.model, now)
@@ -187,16 +207,10 @@
 		r.at = byID[c.ID]
 		r.predicted = predicted
 	}
-	copyAt := ids.VM("")
-	if s.service.Engine != nil && s.service.Engine.Backups && s.route.Resumable {
-		at := placing.Candidate{ID: r.at.ID, Domain: r.at.Domain}
-		if c, ok := s.picker.PickCopy(list, at, need, s.model, now); ok {
-			u := byID[c.ID]
-			r.backup = &u
-			copyAt = u.ID
-		}
+	if u, ok := s.copyHost(r, list, byID, now); ok {
+		r.backup = &u
 	}
-	r.ticket = s.picker.Place(r.at.ID, need, copyAt)
+	r.ticket = s.picker.Place(r.at.ID, need, r.copyID())
 	if s.running[r.at.ID] == nil {
 		s.running[r.at.ID] = map[*stream]bool{}
 	}
@@ -204,6 +218,18 @@
 	return r, nil
 }
 
+// copyHost chooses the upstream that keeps the copy of a run's memory. The caller holds the world's lock.
+func (s *stream) copyHost(r *run, list []placing.Candidate, byID map[ids.VM]fleet.Upstream, now time.Time) (fleet.Upstream, bool) {
+	if s.service.Engine == nil || !s.service.Engine.Backups || !s.route.Resumable {
+		return fleet.Upstream{}, false
+	}
+	for i := range list {
+		list[i].Suspect = list[i].Suspect || s.lostIn[list[i].Domain]
+	}
+	c, ok := s.picker.PickCopy(list, placing.Candidate{ID: r.at.ID, Domain: r.at.Domain}, s.need, s.model, now)
+	return byID[c.ID], ok
+}
+
 func (s *stream) unplace(r *run) {
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
@@ -221,10 +247,20 @@
 	return r.backup.ID
 }
 
-func (s *stream) setConn(c connection) {
+func (s *stream) setRun(conn connection, c *copier) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.conn = c
+	s.conn = conn
+	s.copier = c
+}
+
+// copyLost tells that an upstream is out of use that may keep a copy of the generation's memory.
+func (s *stream) copyLost(u fleet.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copier != nil {
+		s.copier.lost(u)
+	}
 }
 
 // wake has the stream look at its upstream now.
@@ -331,6 +367,13 @@
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return err
 	}
+	now := s.clock.Now()
+	if s.delivered == 0 {
+		s.firstAfter = now.Sub(s.began)
+	} else {
+		s.pause = max(s.pause, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
 	s.delivered++
 	if e.Numbered {
 		s.last = e.ID
@@ -352,7 +395,8 @@
 // complete ends an answer that the upstream has ended well.
 func (s *stream) complete(resp *http.Response) error {
 	s.start(resp)
-	s.logEnd(http.StatusOK, "events", s.delivered)
+	s.logEnd(http.StatusOK, "events", s.delivered, "first_event", s.firstAfter.String(), "longest_pause", s.pause.String())
+	s.metrics.Histogram("longest_pause_ms", "service", string(s.service.Name)).Update(s.pause.Milliseconds())
 	return nil
 }
 
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -48,6 +48,8 @@
 	routers int
 	// running holds the streams under way, by upstream.
 	running map[ids.VM]map[*stream]bool
+	// check probes an upstream aside.
+	check func(u fleet.Upstream)
 }
 
 func newWorld(cfg Settings, o Options) *world {
@@ -142,15 +144,21 @@
 	w.fleet.Lost(u.ID, u.Started, now)
 	suspect := w.fleet.Suspect(u.Domain, now)
 	var woken []*stream
+	var all []*stream
 	for id, list := range w.running {
 		other, known := w.fleet.Get(id)
-		if id != u.ID && (!suspect || !known || other.Domain != u.Domain) {
-			continue
-		}
+		affected := id == u.ID || suspect && known && other.Domain == u.Domain
 		for s := range list {
-			woken = append(woken, s)
+			all = append(all, s)
+			if affected {
+				woken = append(woken, s)
+			}
 		}
 	}
+	var doubtful []fleet.Upstream
+	if fresh && suspect {
+		doubtful = w.fleet.InDomain(u.Domain)
+	}
 	w.mu.Unlock()
 	w.pool.Drop(u.Address)
 	if fresh {
@@ -160,6 +168,12 @@
 	for _, s := range woken {
 		s.wake()
 	}
+	for _, s := range all {
+		s.copyLost(u)
+	}
+	for _, d := range doubtful {
+		w.check(d)
+	}
 }
 
 // found puts an upstream back in use.
