--- a/core/placing/calls.go
+++ b/core/placing/calls.go
@@ -19,9 +19,15 @@
 type Calls struct {
 	domain ids.FailureDomain
 	own    map[ids.VM]int
+	peers  map[ids.VM]callNews
 	report map[ids.VM]callReport
 }
 
+type callNews struct {
+	at    time.Time
+	calls map[ids.VM]int
+}
+
 type callReport struct {
 	at       time.Time
 	busy     int
@@ -32,7 +38,15 @@
 
 // NewCalls returns a chooser for a router of the given failure domain.
 func NewCalls(domain ids.FailureDomain) *Calls {
-	return &Calls{domain: domain, own: map[ids.VM]int{}, report: map[ids.VM]callReport{}}
+	return &Calls{domain: domain, own: map[ids.VM]int{}, peers: map[ids.VM]callNews{}, report: map[ids.VM]callReport{}}
+}
+
+// Own returns the calls that this router has under way.
+func (c *Calls) Own() map[ids.VM]int { return c.own }
+
+// Peer takes another router's word on all its calls.
+func (c *Calls) Peer(router ids.VM, calls map[ids.VM]int, now time.Time) {
+	c.peers[router] = callNews{at: now, calls: calls}
 }
 
 // Start notes a call; End that it is over.
@@ -71,6 +85,12 @@
 	if r, known := c.report[u.ID]; known && now.Sub(r.at) < reportLifetime {
 		work += float64(max(0, r.busy-r.ownThen))
 		slowness = max(0.5, r.slowness)
+	} else {
+		for _, n := range c.peers {
+			if now.Sub(n.at) < reportLifetime {
+				work += float64(n.calls[u.ID])
+			}
+		}
 	}
 	// Work beyond the slots waits for a whole call to end.
 	over := max(0, work+1-float64(slots))
--- /dev/null
+++ b/core/placing/homes.go
@@ -0,0 +1,48 @@
+package placing
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+// homeLife is how long an engine is likely to keep a prompt whose run was cut, at usual load.
+const homeLife = 20 * time.Second
+
+// Homes remembers at which engine a prompt was last read. It is not safe for concurrent use.
+type Homes struct {
+	by map[uint64]home
+	// swept is when old entries were last dropped.
+	swept time.Time
+}
+
+type home struct {
+	at     ids.VM
+	placed time.Time
+}
+
+// NewHomes returns an empty memory.
+func NewHomes() *Homes { return &Homes{by: map[uint64]home{}} }
+
+// Set notes that a prompt, given by its hash, is being read at an engine.
+func (h *Homes) Set(prompt uint64, at ids.VM, now time.Time) {
+	h.by[prompt] = home{at: at, placed: now}
+	if now.Sub(h.swept) < homeLife {
+		return
+	}
+	h.swept = now
+	for key, known := range h.by {
+		if now.Sub(known.placed) > homeLife {
+			delete(h.by, key)
+		}
+	}
+}
+
+// Get returns the engine at which a prompt was last read, or the empty id.
+func (h *Homes) Get(prompt uint64, now time.Time) ids.VM {
+	known, found := h.by[prompt]
+	if !found || now.Sub(known.placed) > homeLife {
+		return ""
+	}
+	return known.at
+}
--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -23,8 +23,8 @@
 	Prompt  int
 	Context int
 	Output  int
-	// Affinity names the prompt; empty means that it is not known.
-	Affinity string
+	// Home is the engine that has read the prompt before, or empty.
+	Home ids.VM
 }
 
 // Tokens is the memory that the generation takes up at its end.
--- a/core/placing/pick.go
+++ b/core/placing/pick.go
@@ -19,10 +19,6 @@
 	crowdedCost = 10 * time.Second
 	// suspectCost puts engines of a failure domain that is being lost behind others.
 	suspectCost = 3 * time.Second
-	// affinityBound and affinitySlack bound what the home of a prompt may cost against the best candidate. A prompt that is
-	// being read there already costs more than that.
-	affinityBound = 1.25
-	affinitySlack = 50 * time.Millisecond
 )
 
 // Candidate is an engine that may be chosen.
@@ -39,34 +35,20 @@
 	*Ledger
 }
 
-// Pick returns the candidate for a generation and the predicted time to its first event. Of the candidates that are about
-// as good as the best one, it takes the home of the prompt: any router sends the prompt there again, where it is still in
-// memory after the router that first sent it has ended.
+// Pick returns the candidate at which the first event is expected earliest, and when. The home of the prompt need not read
+// it again.
 func (p Picker) Pick(list []Candidate, n Need, m Model, now time.Time) (Candidate, time.Duration, bool) {
 	if len(list) == 0 {
 		return Candidate{}, 0, false
 	}
-	costs := make([]placed, len(list))
-	best := 0
-	for i, c := range list {
-		costs[i] = p.cost(c, n, m, now)
-		if costs[i].cost < costs[best].cost {
-			best = i
+	best := list[0]
+	expected := p.cost(best, n, m, now)
+	for _, c := range list[1:] {
+		if e := p.cost(c, n, m, now); e.cost < expected.cost {
+			best, expected = c, e
 		}
 	}
-	if n.Affinity == "" {
-		return list[best], costs[best].first, true
-	}
-	limit := time.Duration(affinityBound*float64(costs[best].cost)) + affinitySlack
-	chosen := best
-	var top uint64
-	for i, c := range list {
-		weight := xxhash.Sum64String(n.Affinity + "/" + string(c.ID))
-		if costs[i].cost <= limit && weight >= top {
-			chosen, top = i, weight
-		}
-	}
-	return list[chosen], costs[chosen].first, true
+	return best, expected.first, true
 }
 
 // placed is what placing a generation at a candidate is expected to bring.
@@ -77,7 +59,11 @@
 
 func (p Picker) cost(c Candidate, n Need, m Model, now time.Time) placed {
 	w := p.At(c.ID, now)
-	first := m.FirstEvent(w, n.Prompt, p.Slowness(c.ID))
+	prompt := n.Prompt
+	if c.ID == n.Home {
+		prompt = 0
+	}
+	first := m.FirstEvent(w, prompt, p.Slowness(c.ID))
 	cost := first + time.Duration(w.Running)*runningCost + p.bias(c)
 	if !m.Fits(w, n.Tokens()) {
 		cost += crowdedCost
--- a/router/direct.go
+++ b/router/direct.go
@@ -26,10 +26,13 @@
 	defer g.Stop()
 	log := event.New(out, cfg.Level(), string(cfg.VM))
 	s := platform.NewStore(cfg.Store.Address, upstream.Dial)
-	a := direct.New(cfg, direct.Options{
+	a, err := direct.New(cfg, direct.Options{
 		Clock: clockwork.NewRealClock(), Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial, ForgetStore: s.Forget,
 		Decode: direct.Decoder{Layout: platform.Layout, Config: platform.Config, Upstream: platform.Upstream},
 	})
+	if err != nil {
+		return err
+	}
 	g.Go(func(ctx context.Context) { a.Reload(ctx, path, hangups) })
 	return a.Run(ctx)
 }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -22,9 +23,12 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/link"
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/relay"
+	"bilberrylug.dev/core/settings"
 	"bilberrylug.dev/core/store"
+	"bilberrylug.dev/router/neighbour"
 	"bilberrylug.dev/router/upstream"
 )
 
@@ -66,24 +70,36 @@
 	world    *world
 	edge     *edge
 	follower *mirror.Follower
+	teller   *neighbour.Teller
+	dialer   *link.Dialer
 	group    *group.Group
 	stop     *stopper
 }
 
 // New puts a router together.
-func New(cfg Settings, o Options) *App {
+func New(cfg Settings, o Options) (*App, error) {
+	dialer, err := link.NewDialer(settings.TLS{})
+	if err != nil {
+		return nil, err
+	}
 	w := newWorld(cfg, o)
 	g := group.New(context.Background())
 	stop := &stopper{clock: o.Clock, longWork: stopNotice}
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
-	a := &App{cfg: cfg, o: o, world: w, group: g, stop: stop}
+	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
 	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop}
 	w.check = a.edge.probes.check
 	a.follower = mirror.NewFollower(mirror.Options{
 		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Reached: w.storeReached,
 		Silent: o.ForgetStore,
 	})
-	return a
+	a.teller = neighbour.NewTeller(neighbour.Options{
+		Self: cfg.VM, Seeds: without(cfg.Seeds, cfg.Peers), Dialer: dialer, Clock: o.Clock, Log: o.Log, Group: g, News: a.news, Take: a.takeNews,
+		Merge: a.follower.Merge, Since: a.follower.Since,
+	})
+	w.nudge = a.teller.Nudge
+	w.routerChanged = a.routerChanged
+	return a, nil
 }
 
 // Run serves until the context ends, then finishes what runs and returns.
@@ -97,22 +113,31 @@
 	side.GET("/metrics", func(c echo.Context) error { a.world.metrics.Write(c.Response()); return nil })
 	readiness := &http.Server{Handler: http.HandlerFunc(a.answerReady), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	metrics := &http.Server{Handler: side, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	for address, server := range map[string]*http.Server{
 		a.cfg.Callers: callers, a.cfg.Readiness: readiness, a.cfg.metricsAddress(): metrics,
 	} {
-		var lc net.ListenConfig
-		l, err := lc.Listen(ctx, "tcp", address)
+		l, err := listen(ctx, address)
 		if err != nil {
-			return fault.Wrap(fault.SettingsInvalid, err, "listen %s", address)
+			return err
 		}
 		a.group.Go(func(context.Context) { serve(server, l, failed) })
 	}
+	peers, err := listen(ctx, a.cfg.Peers)
+	if err != nil {
+		return err
+	}
+	a.group.Go(func(ctx context.Context) {
+		if err := link.Serve(ctx, peers, settings.TLS{}, a.teller.Register); err != nil {
+			failed <- err
+		}
+	})
 	a.group.Go(a.follower.Run)
+	a.group.Go(a.teller.Run)
+	a.group.Go(a.keepEntry)
 	a.group.Go(a.edge.probes.run)
-	a.group.Go(func(ctx context.Context) { group.Every(ctx, a.o.Clock, expireInterval, a.world.expire) })
+	a.group.Go(func(ctx context.Context) { group.Every(ctx, a.o.Clock, expireInterval, a.tidy) })
 	a.o.Log.Write(event.Started, "callers", a.cfg.Callers, "failure_domain", a.cfg.FailureDomain)
-	var err error
 	select {
 	case <-ctx.Done():
 		a.planStop()
@@ -123,6 +148,7 @@
 		_ = s.Close()
 	}
 	a.group.Stop()
+	a.dialer.Close()
 	return err
 }
 
@@ -132,12 +158,31 @@
 	}
 }
 
+func without(list []string, own string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == own })
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.SettingsInvalid, err, "listen %s", address)
+	}
+	return l, nil
+}
+
 func serve(s *http.Server, l net.Listener, failed chan<- error) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		failed <- fault.Wrap(fault.Internal, err, "serve %s", l.Addr())
 	}
 }
 
+// tidy drops what is gone and counts the routers.
+func (a *App) tidy() {
+	a.world.expire()
+	a.world.countRouters(len(a.teller.Peers()) + 1)
+}
+
 func (a *App) ready() bool { return !a.stop.stopping() && a.world.config.Load() != nil }
 
 func (a *App) answerReady(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/router/direct/news.go
@@ -0,0 +1,181 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/placing"
+	"bilberrylug.dev/core/store"
+	"bilberrylug.dev/core/wire"
+)
+
+const (
+	// entryLease is the life of a router's entry in the store without renewal. A router whose entry has lapsed is still
+	// known to those that it tells news.
+	entryLease = 6 * time.Second
+	// entryRenewal leaves time for two tries before the lease ends.
+	entryRenewal = 2 * time.Second
+	// entryTime bounds the calls of one renewal.
+	entryTime = 1500 * time.Millisecond
+	// lostLife is how long the loss of an upstream is news.
+	lostLife = 300 * time.Millisecond
+)
+
+// routerEntry is a router's entry in the store.
+type routerEntry struct {
+	Address string `json:"address"`
+}
+
+// news gathers what the other routers are told.
+func (a *App) news() *wire.News {
+	w := a.world
+	n := &wire.News{
+		Sender: string(a.cfg.VM), Address: a.cfg.Peers, Revision: uint64(a.follower.Revision()), Leaving: a.stop.stopping(),
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	rows := map[ids.VM]*wire.Work{}
+	row := func(id ids.VM) *wire.Work {
+		if rows[id] == nil {
+			rows[id] = &wire.Work{Upstream: string(id)}
+			n.Work = append(n.Work, rows[id])
+		}
+		return rows[id]
+	}
+	for id, work := range w.picker.Own() {
+		r := row(id)
+		r.UnreadTokens = uint32(max(0, work.Unread))
+		r.Running = uint32(max(0, work.Running))
+		r.MemoryTokens = uint32(max(0, work.Memory))
+	}
+	for id, calls := range w.calls.Own() {
+		row(id).Calls = uint32(calls)
+	}
+	for _, u := range w.fleet.LostOnes() {
+		if now.Sub(u.LostAt()) < lostLife {
+			n.Lost = append(n.Lost, &wire.LostUpstream{Upstream: string(u.ID), Started: u.Started})
+		}
+	}
+	n.Homes = w.newHomes
+	w.newHomes = nil
+	return n
+}
+
+// takeNews takes another router's news.
+func (a *App) takeNews(n *wire.News) {
+	w := a.world
+	work := make(map[ids.VM]placing.Work, len(n.GetWork()))
+	calls := make(map[ids.VM]int)
+	for _, r := range n.GetWork() {
+		id := ids.VM(r.GetUpstream())
+		work[id] = placing.Work{Unread: int(r.GetUnreadTokens()), Running: int(r.GetRunning()), Memory: int(r.GetMemoryTokens())}
+		if r.GetCalls() > 0 {
+			calls[id] = int(r.GetCalls())
+		}
+	}
+	w.mu.Lock()
+	now := w.clock.Now()
+	w.picker.Peer(ids.VM(n.GetSender()), work, now)
+	w.calls.Peer(ids.VM(n.GetSender()), calls, now)
+	for _, h := range n.GetHomes() {
+		w.homes.Set(h.GetPrompt(), ids.VM(h.GetUpstream()), now)
+	}
+	var doubtful []fleet.Upstream
+	for _, l := range n.GetLost() {
+		u, known := w.fleet.Get(ids.VM(l.GetUpstream()))
+		if known && u.Started == l.GetStarted() && u.InUse() {
+			doubtful = append(doubtful, u)
+		}
+	}
+	w.mu.Unlock()
+	for _, u := range doubtful {
+		w.check(u)
+	}
+}
+
+// placedPrompt notes where a prompt is being read, for this router and the others. The caller holds the lock.
+func (w *world) placedPrompt(name string, at ids.VM) {
+	if name == "" {
+		return
+	}
+	key := xxhash.Sum64String(name)
+	w.homes.Set(key, at, w.clock.Now())
+	w.newHomes = append(w.newHomes, &wire.PromptHome{Prompt: key, Upstream: string(at)})
+}
+
+func (w *world) homeOf(name string) ids.VM {
+	if name == "" {
+		return ""
+	}
+	return w.homes.Get(xxhash.Sum64String(name), w.clock.Now())
+}
+
+// routerChanged takes a change of another router's entry.
+func (a *App) routerChanged(c store.Change) {
+	vm := ids.VM(c.Key[len(a.o.Decode.Layout.Routers):])
+	var e routerEntry
+	if !c.Removed {
+		if err := json.Unmarshal(c.Value, &e); err != nil {
+			a.o.Log.Write(event.EntryUnreadable, "key", c.Key, "error", err.Error(), "store_revision", uint64(c.Modified))
+			return
+		}
+	}
+	a.teller.List(vm, e.Address)
+	a.o.Log.Write(event.PeerChanged, "router", vm, "address", e.Address, "listed", !c.Removed, "store_revision", uint64(c.Modified))
+}
+
+// keepEntry keeps this router's entry in the store until the context ends.
+func (a *App) keepEntry(ctx context.Context) {
+	var lease store.Lease
+	for ctx.Err() == nil {
+		err := a.renewEntry(ctx, &lease)
+		if err != nil && ctx.Err() == nil {
+			a.o.Log.Write(event.StoreFailed, "call", "entry of this router", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+		case <-a.o.Clock.After(entryRenewal):
+		}
+	}
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	if err := a.o.Store.Revoke(ctx, lease); err != nil {
+		a.o.Log.Write(event.StoreFailed, "call", "end of this router's lease", "error", err.Error())
+	}
+}
+
+func (a *App) renewEntry(ctx context.Context, lease *store.Lease) error {
+	ctx, cancel := context.WithTimeout(ctx, entryTime)
+	defer cancel()
+	if *lease != 0 {
+		err := a.o.Store.KeepAlive(ctx, *lease)
+		if !errors.Is(err, store.ErrLeaseEnded) {
+			return err
+		}
+		*lease = 0
+	}
+	l, _, err := a.o.Store.Grant(ctx, entryLease)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(routerEntry{Address: a.cfg.Peers})
+	if err != nil {
+		return err
+	}
+	if err := a.o.Store.Put(ctx, a.o.Decode.Layout.Routers+string(a.cfg.VM), value, l); err != nil {
+		return err
+	}
+	*lease = l
+	return nil
+}
--- a/router/direct/reload.go
+++ b/router/direct/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"bilberrylug.dev/core/event"
@@ -32,7 +33,7 @@
 			a.o.Log.Write(event.Reloaded, "reason", reason, "outcome", "former settings stay", "error", err.Error())
 			continue
 		}
-		if cfg == last && reason != "hangup" {
+		if reflect.DeepEqual(cfg, last) && reason != "hangup" {
 			continue
 		}
 		last = cfg
--- a/router/direct/settings.go
+++ b/router/direct/settings.go
@@ -21,8 +21,10 @@
 	// Callers is the address for callers, Readiness the one at which the balancer asks.
 	Callers   string `yaml:"callers"`
 	Readiness string `yaml:"readiness"`
-	// PeerPort is the port for other routers; all routers use the same.
-	PeerPort int `yaml:"peer_port"`
+	// Peers is the address for other routers.
+	Peers string `yaml:"peers"`
+	// Seeds are the addresses of some routers, which are asked until the store lists the others.
+	Seeds []string `yaml:"seeds"`
 	// MetricsPort is the port of the metrics and the status.
 	MetricsPort int `yaml:"metrics_port"`
 	// StopSeconds is the time that a planned stop may take.
@@ -51,7 +53,7 @@
 // Check implements settings.Checked.
 func (s Settings) Check() error {
 	for _, a := range []struct{ name, value string }{
-		{"callers", s.Callers}, {"readiness", s.Readiness}, {"store.address", s.Store.Address},
+		{"callers", s.Callers}, {"readiness", s.Readiness}, {"peers", s.Peers}, {"store.address", s.Store.Address},
 	} {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return fault.Wrap(fault.SettingsInvalid, err, "%s must be host:port", a.name)
@@ -62,8 +64,8 @@
 		return fault.New(fault.SettingsInvalid, "vm and failure_domain are required")
 	case net.ParseIP(s.Address) == nil:
 		return fault.New(fault.SettingsInvalid, "address must be an IP address")
-	case s.PeerPort <= 0 || s.MetricsPort <= 0:
-		return fault.New(fault.SettingsInvalid, "peer_port and metrics_port must be above zero")
+	case s.MetricsPort <= 0:
+		return fault.New(fault.SettingsInvalid, "metrics_port must be above zero")
 	case s.StopSeconds <= 0:
 		return fault.New(fault.SettingsInvalid, "stop_seconds must be above zero")
 	case s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.WindowSeconds <= 0:
@@ -72,8 +74,6 @@
 	return nil
 }
 
-func (s Settings) peerAddress() string { return net.JoinHostPort(s.Address, strconv.Itoa(s.PeerPort)) }
-
 func (s Settings) metricsAddress() string {
 	return net.JoinHostPort(s.Address, strconv.Itoa(s.MetricsPort))
 }
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -66,7 +66,7 @@
 	s := &stream{
 		exchange: x, model: x.engineModel(), last: x.req.LastEvent, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
 		lostIn: map[ids.FailureDomain]bool{},
-		need: placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Affinity: x.req.Prompt.Name},
+		need: placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput},
 	}
 	for {
 		err := s.try()
@@ -200,6 +200,7 @@
 		s.copied = nil
 	}
 	if r.from.None() {
+		need.Home = s.homeOf(s.req.Prompt.Name)
 		c, predicted, ok := s.picker.Pick(list, need, s.model, now)
 		if !ok {
 			return nil, errNoUpstream
@@ -211,6 +212,8 @@
 		r.backup = &u
 	}
 	r.ticket = s.picker.Place(r.at.ID, need, r.copyID())
+	s.placedPrompt(s.req.Prompt.Name, r.at.ID)
+	s.nudge()
 	if s.running[r.at.ID] == nil {
 		s.running[r.at.ID] = map[*stream]bool{}
 	}
@@ -406,6 +409,7 @@
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
 	r.ticket.Read()
+	s.nudge()
 	if r.from.None() {
 		s.picker.Measured(r.at.ID, taken, r.predicted)
 	}
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -16,6 +16,7 @@
 	"bilberrylug.dev/core/placing"
 	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/core/store"
+	"bilberrylug.dev/core/wire"
 	"bilberrylug.dev/router/upstream"
 )
 
@@ -50,6 +51,13 @@
 	running map[ids.VM]map[*stream]bool
 	// check probes an upstream aside.
 	check func(u fleet.Upstream)
+	// nudge has the other routers told soon.
+	nudge func()
+	// homes remembers where prompts were read; newHomes are those that the others have not been told.
+	homes    *placing.Homes
+	newHomes []*wire.PromptHome
+	// routerChanged takes changes of the routers' entries.
+	routerChanged func(c store.Change)
 }
 
 func newWorld(cfg Settings, o Options) *world {
@@ -59,7 +67,7 @@
 		fleet:  fleet.New(returnTime),
 		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Ledger: placing.NewLedger()},
 		calls:  placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
-		routers: minRouters, running: map[ids.VM]map[*stream]bool{},
+		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(),
 	}
 }
 
@@ -74,6 +82,8 @@
 			w.configChanged(c)
 		case hasPrefix(c.Key, w.decode.Layout.Upstreams):
 			w.upstreamChanged(c)
+		case hasPrefix(c.Key, w.decode.Layout.Routers):
+			w.routerChanged(c)
 		}
 	}
 }
@@ -125,6 +135,13 @@
 	w.fleet.StoreReached(reached, w.clock.Now())
 }
 
+// countRouters notes how many routers share the limits.
+func (w *world) countRouters(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.routers = max(minRouters, n)
+}
+
 // expire drops the upstreams that are gone after an outage.
 func (w *world) expire() {
 	w.mu.Lock()
@@ -174,6 +191,9 @@
 	for _, d := range doubtful {
 		w.check(d)
 	}
+	if fresh {
+		w.nudge()
+	}
 }
 
 // found puts an upstream back in use.
--- /dev/null
+++ b/router/neighbour/teller.go
@@ -0,0 +1,199 @@
+// Package neighbour tells the other routers what this one has under way and has found out, and brings in the changes of the
+// store that it lacks.
+//
+// # Usage
+//
+//	t := neighbour.NewTeller(neighbour.Options{...})
+//	t.SetPeers(map[ids.VM]string{"entry-2": "10.0.0.2:7200"})
+//	g.Go(t.Run)
+//	t.Nudge() // there is news
+package neighbour
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/link"
+	"bilberrylug.dev/core/store"
+	"bilberrylug.dev/core/wire"
+)
+
+const (
+	// tellPause gathers news; it grows with the number of routers, so that the total stays about the same for each.
+	tellPause     = 50 * time.Millisecond
+	routersAtOnce = 8
+	// tellIdle is the longest pause without news, so that a router that is cut off from the store hears of changes.
+	tellIdle = 500 * time.Millisecond
+	// tellTime bounds one telling.
+	tellTime = 400 * time.Millisecond
+	// heardLife is how long a router counts as present after its last word, though the store does not list it.
+	heardLife = 3 * time.Second
+)
+
+// Options are what a teller needs.
+type Options struct {
+	Self ids.VM
+	// Seeds are the addresses that are told while no other router is known.
+	Seeds  []string
+	Dialer *link.Dialer
+	Clock  clockwork.Clock
+	Log    *event.Log
+	Group  *group.Group
+	// News returns the present news; it is asked once for each round.
+	News func() *wire.News
+	// Take takes another router's news.
+	Take func(n *wire.News)
+	// Merge takes changes of the store.
+	Merge func(list []store.Change, upTo store.Revision)
+	// Since returns the changes of the store behind a revision.
+	Since func(since store.Revision) ([]store.Change, store.Revision)
+}
+
+// Teller spreads news to all other routers.
+type Teller struct {
+	o     Options
+	nudge chan struct{}
+
+	mu sync.Mutex
+	// listed are the routers that the store lists, heard those that have told something.
+	listed  map[ids.VM]string
+	heard   map[ids.VM]peer
+	telling map[ids.VM]bool
+	failed  map[ids.VM]bool
+}
+
+type peer struct {
+	address string
+	at      time.Time
+}
+
+// NewTeller returns a teller without peers.
+func NewTeller(o Options) *Teller {
+	return &Teller{
+		o: o, nudge: make(chan struct{}, 1), listed: map[ids.VM]string{}, heard: map[ids.VM]peer{}, telling: map[ids.VM]bool{},
+		failed: map[ids.VM]bool{},
+	}
+}
+
+// List notes a router that the store lists; the empty address that it no longer does.
+func (t *Teller) List(vm ids.VM, address string) {
+	if vm == t.o.Self {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if address == "" {
+		delete(t.listed, vm)
+		return
+	}
+	t.listed[vm] = address
+}
+
+// Peers returns the other routers that are present, with their addresses.
+func (t *Teller) Peers() map[ids.VM]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[ids.VM]string, len(t.listed))
+	now := t.o.Clock.Now()
+	for vm, p := range t.heard {
+		if now.Sub(p.at) < heardLife {
+			out[vm] = p.address
+		} else {
+			delete(t.heard, vm)
+		}
+	}
+	for vm, address := range t.listed {
+		out[vm] = address
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, address := range t.o.Seeds {
+		// A seed's name is not known before it has told something.
+		out[ids.VM(address)] = address
+	}
+	return out
+}
+
+// Nudge has the news told soon.
+func (t *Teller) Nudge() {
+	select {
+	case t.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Run tells news until the context ends.
+func (t *Teller) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.nudge:
+		case <-t.o.Clock.After(tellIdle):
+		}
+		peers := t.Peers()
+		t.round(peers)
+		pause := tellPause * time.Duration(1+len(peers)/routersAtOnce)
+		select {
+		case <-ctx.Done():
+		case <-t.o.Clock.After(pause):
+		}
+	}
+}
+
+func (t *Teller) round(peers map[ids.VM]string) {
+	news := t.o.News()
+	for vm, address := range peers {
+		t.mu.Lock()
+		busy := t.telling[vm]
+		t.telling[vm] = true
+		t.mu.Unlock()
+		if busy {
+			continue
+		}
+		t.o.Group.Go(func(ctx context.Context) { t.tell(ctx, vm, address, news) })
+	}
+}
+
+func (t *Teller) tell(ctx context.Context, vm ids.VM, address string, news *wire.News) {
+	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	conn := t.o.Dialer.Conn(address)
+	defer func() { _ = conn.Close() }()
+	reply, err := wire.NewDRPCNeighbourClient(conn).Tell(ctx, news)
+	t.mu.Lock()
+	t.telling[vm] = false
+	before := t.failed[vm]
+	t.failed[vm] = err != nil
+	t.mu.Unlock()
+	if err != nil {
+		if !before {
+			t.o.Log.Write(event.PeerChanged, "router", vm, "state", "does not answer", "error", err.Error())
+		}
+		return
+	}
+	if before {
+		t.o.Log.Write(event.PeerChanged, "router", vm, "state", "answers again")
+	}
+	if len(reply.GetChanges()) > 0 {
+		t.o.Merge(changes(reply.GetChanges()), store.Revision(reply.GetRevision()))
+	}
+}
+
+func changes(list []*wire.StoreChange) []store.Change {
+	out := make([]store.Change, 0, len(list))
+	for _, c := range list {
+		out = append(out, store.Change{
+			Item:    store.Item{Key: c.GetKey(), Value: c.GetValue(), Modified: store.Revision(c.GetRevision())},
+			Removed: c.GetRemoved(),
+		})
+	}
+	return out
+}
