--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -143,6 +143,7 @@
 		a.planStop()
 	case err = <-failed:
 	}
+	a.drain(callers)
 	a.o.Log.Write(event.Stopped, "active", a.stop.active.Load())
 	for _, s := range []*http.Server{callers, readiness, metrics} {
 		_ = s.Close()
@@ -191,6 +192,15 @@
 	}
 }
 
+// drain closes the callers' connections as they become idle and waits a moment for the others.
+func (a *App) drain(callers *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		a.o.Log.Write(event.Stopping, "cut", a.stop.active.Load(), "error", err.Error())
+	}
+}
+
 // planStop waits until the balancer sends nothing more and what runs has ended, or the stop's time is over.
 func (a *App) planStop() {
 	a.stop.begin()
--- a/router/direct/edge.go
+++ b/router/direct/edge.go
@@ -101,7 +101,7 @@
 	if p := x.req.Patience; p > 0 && p < route.Timeout {
 		x.end = x.began.Add(p)
 	}
-	if route.Kind == routing.Streaming && x.stop.closing() {
+	if x.stop.full() || route.Kind == routing.Streaming && x.stop.closing() {
 		return fault.New(fault.RouterStopping, "")
 	}
 	return x.readBody(cfg.Limits.MaxBodyBytes)
--- a/router/direct/stopper.go
+++ b/router/direct/stopper.go
@@ -7,6 +7,9 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// lastWork is the time before the process ends in which no work is taken on: a call takes up to two seconds.
+const lastWork = 2500 * time.Millisecond
+
 // stopper follows a planned stop.
 type stopper struct {
 	clock  clockwork.Clock
@@ -36,5 +39,11 @@
 	return began != nil && s.clock.Since(*began) > s.longWork
 }
 
+// full tells that no further work is taken on, so that what was taken on ends before the process does.
+func (s *stopper) full() bool {
+	began := s.began.Load()
+	return began != nil && s.clock.Since(*began) > time.Duration(s.limit.Load())-lastWork
+}
+
 // since is the time since the stop's begin.
 func (s *stopper) since() time.Duration { return s.clock.Since(*s.began.Load()) }
