--- /dev/null
+++ b/core/mirror/duty.go
@@ -0,0 +1,51 @@
+package mirror
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrylug.dev/core/ids"
+)
+
+const (
+	// watchers is the number of routers that watch the store for all. Two may be lost at once without a gap.
+	watchers = 3
+	// freshTime is how long ago the store may have answered a router that others rely on. Together with one watch it stays
+	// within the two seconds in which a change must be in force.
+	freshTime = 1200 * time.Millisecond
+)
+
+// Duty decides whether a router watches the store itself or relies on others, since each call of the store counts. It is not
+// safe for concurrent use.
+type Duty struct {
+	self  uint64
+	peers map[ids.VM]time.Time
+}
+
+// NewDuty returns the duty of a router that has heard of no other.
+func NewDuty(self ids.VM) *Duty { return &Duty{self: order(self), peers: map[ids.VM]time.Time{}} }
+
+func order(vm ids.VM) uint64 { return xxhash.Sum64String(string(vm)) }
+
+// Heard notes when the store last answered another router.
+func (d *Duty) Heard(vm ids.VM, at time.Time) { d.peers[vm] = at }
+
+// Gone notes that another router has ended.
+func (d *Duty) Gone(vm ids.VM) { delete(d.peers, vm) }
+
+// Watch tells whether the router must watch the store: fewer than enough routers before it in the common order are served by
+// the store.
+func (d *Duty) Watch(now time.Time) bool {
+	served := 0
+	for vm, at := range d.peers {
+		if now.Sub(at) > 4*freshTime {
+			delete(d.peers, vm)
+			continue
+		}
+		if now.Sub(at) <= freshTime && order(vm) < d.self {
+			served++
+		}
+	}
+	return served < watchers
+}
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -16,7 +16,7 @@
 const (
 	// watchWait is how long one watch is kept waiting. A store that forgets its history may leave watches without an answer;
 	// with the slack and one listing, changes are still seen within the two seconds in which they must be in force.
-	watchWait = 900 * time.Millisecond
+	watchWait = 600 * time.Millisecond
 	// watchSlack is how much later than its wait a watch's answer may come before it counts as lost; a slow store takes some
 	// hundred milliseconds.
 	watchSlack = 450 * time.Millisecond
@@ -37,8 +37,12 @@
 	Log    *event.Log
 	// Changed is told each batch of news in order, from one goroutine at a time.
 	Changed func(news []store.Change)
+	// Learned is called after the store itself has brought news.
+	Learned func()
 	// Reached is told when the store answers again after a failure, and with false when it fails.
 	Reached func(reached bool)
+	// Watch tells whether this router watches the store itself; if not, others send it the changes.
+	Watch func() bool
 	// Silent is called after a call without an answer, so that its connection is not used again.
 	Silent func()
 }
@@ -50,6 +54,8 @@
 	mu      sync.Mutex
 	replica *Replica
 	reached bool
+	// servedAt is when the store last answered.
+	servedAt time.Time
 }
 
 // NewFollower returns a follower with an empty replica.
@@ -62,6 +68,13 @@
 	return f.replica.Revision()
 }
 
+// ServedAt returns when the store last answered this router; the zero time means never.
+func (f *Follower) ServedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servedAt
+}
+
 // Since returns the changes behind a revision and the revision up to which they are complete.
 func (f *Follower) Since(since store.Revision) ([]store.Change, store.Revision) {
 	f.mu.Lock()
@@ -73,7 +86,13 @@
 func (f *Follower) Merge(list []store.Change, upTo store.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.o.Changed(f.replica.Apply(list, upTo))
+	f.apply(list, upTo)
+}
+
+func (f *Follower) apply(list []store.Change, upTo store.Revision) {
+	if news := f.replica.Apply(list, upTo); len(news) > 0 {
+		f.o.Changed(news)
+	}
 }
 
 // Run follows the store until the context ends.
@@ -81,6 +100,10 @@
 	listed := false
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		if listed && !f.o.Watch() {
+			f.pause(ctx, gather)
+			continue
+		}
 		var err error
 		if !listed {
 			err = f.list(ctx)
@@ -123,6 +146,9 @@
 	f.mu.Lock()
 	before := f.reached
 	f.reached = err == nil
+	if err == nil {
+		f.servedAt = f.o.Clock.Now()
+	}
 	revision := f.replica.Revision()
 	f.mu.Unlock()
 	if before == (err == nil) {
@@ -154,6 +180,7 @@
 	f.mu.Lock()
 	f.replica.Complete(at)
 	f.mu.Unlock()
+	f.o.Learned()
 	return nil
 }
 
@@ -193,6 +220,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.o.Changed(f.replica.Apply(changes.List, changes.Revision))
+	f.apply(changes.List, changes.Revision)
+	if len(changes.List) > 0 {
+		f.o.Learned()
+	}
 	return nil
 }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -91,7 +91,7 @@
 	w.check = a.edge.probes.check
 	a.follower = mirror.NewFollower(mirror.Options{
 		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Reached: w.storeReached,
-		Silent: o.ForgetStore,
+		Silent: o.ForgetStore, Learned: func() { w.nudge() }, Watch: w.watches,
 	})
 	a.teller = neighbour.NewTeller(neighbour.Options{
 		Self: cfg.VM, Seeds: without(cfg.Seeds, cfg.Peers), Dialer: dialer, Clock: o.Clock, Log: o.Log, Group: g, News: a.news, Take: a.takeNews,
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -39,6 +39,9 @@
 	n := &wire.News{
 		Sender: string(a.cfg.VM), Address: a.cfg.Peers, Revision: uint64(a.follower.Revision()), Leaving: a.stop.stopping(),
 	}
+	if served := a.follower.ServedAt(); !served.IsZero() {
+		n.StoreAgeMs = uint32(max(1, w.clock.Since(served).Milliseconds()))
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clock.Now()
@@ -83,6 +86,12 @@
 	}
 	w.mu.Lock()
 	now := w.clock.Now()
+	switch age := n.GetStoreAgeMs(); {
+	case n.GetLeaving():
+		w.duty.Gone(ids.VM(n.GetSender()))
+	case age > 0:
+		w.duty.Heard(ids.VM(n.GetSender()), now.Add(-time.Duration(age)*time.Millisecond))
+	}
 	w.picker.Peer(ids.VM(n.GetSender()), work, now)
 	w.calls.Peer(ids.VM(n.GetSender()), calls, now)
 	for _, h := range n.GetHomes() {
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -49,6 +49,8 @@
 	routers int
 	// running holds the streams under way, by upstream.
 	running map[ids.VM]map[*stream]bool
+	// duty decides whether this router watches the store.
+	duty *mirror.Duty
 	// check probes an upstream aside.
 	check func(u fleet.Upstream)
 	// nudge has the other routers told soon.
@@ -67,7 +69,7 @@
 		fleet:  fleet.New(returnTime),
 		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Ledger: placing.NewLedger()},
 		calls:  placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
-		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(),
+		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM),
 	}
 }
 
@@ -135,6 +137,13 @@
 	w.fleet.StoreReached(reached, w.clock.Now())
 }
 
+// watches tells whether this router watches the store itself.
+func (w *world) watches() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.duty.Watch(w.clock.Now())
+}
+
 // countRouters notes how many routers share the limits.
 func (w *world) countRouters(n int) {
 	w.mu.Lock()
--- a/router/neighbour/server.go
+++ b/router/neighbour/server.go
@@ -22,14 +22,13 @@
 	} else {
 		t.heard[vm] = peer{address: n.GetAddress(), at: t.o.Clock.Now()}
 	}
+	// A router that has started anew has less than before.
+	t.known[vm] = store.Revision(n.GetRevision())
 	t.mu.Unlock()
+	if len(n.GetChanges()) > 0 {
+		t.o.Merge(changes(n.GetChanges()), store.Revision(n.GetRevision()))
+	}
 	t.o.Take(n)
 	list, revision := t.o.Since(store.Revision(n.GetRevision()))
-	reply := &wire.NewsReply{Revision: uint64(revision)}
-	for _, c := range list {
-		reply.Changes = append(reply.Changes, &wire.StoreChange{
-			Key: c.Key, Value: c.Value, Revision: uint64(c.Modified), Removed: c.Removed,
-		})
-	}
-	return reply, nil
+	return &wire.NewsReply{Revision: uint64(revision), Changes: encode(list)}, nil
 }
--- a/router/neighbour/teller.go
+++ b/router/neighbour/teller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/group"
@@ -66,6 +67,8 @@
 	heard   map[ids.VM]peer
 	telling map[ids.VM]bool
 	failed  map[ids.VM]bool
+	// known is the store's revision that another router is known to have reached.
+	known map[ids.VM]store.Revision
 }
 
 type peer struct {
@@ -77,7 +80,7 @@
 func NewTeller(o Options) *Teller {
 	return &Teller{
 		o: o, nudge: make(chan struct{}, 1), listed: map[ids.VM]string{}, heard: map[ids.VM]peer{}, telling: map[ids.VM]bool{},
-		failed: map[ids.VM]bool{},
+		failed: map[ids.VM]bool{}, known: map[ids.VM]store.Revision{},
 	}
 }
 
@@ -167,8 +170,11 @@
 	defer cancel()
 	conn := t.o.Dialer.Conn(address)
 	defer func() { _ = conn.Close() }()
-	reply, err := wire.NewDRPCNeighbourClient(conn).Tell(ctx, news)
+	reply, err := wire.NewDRPCNeighbourClient(conn).Tell(ctx, t.with(vm, news))
 	t.mu.Lock()
+	if err == nil {
+		t.known[vm] = max(t.known[vm], store.Revision(max(news.GetRevision(), reply.GetRevision())))
+	}
 	t.telling[vm] = false
 	before := t.failed[vm]
 	t.failed[vm] = err != nil
@@ -187,6 +193,29 @@
 	}
 }
 
+// with adds the changes to the news that a router lacks. A router of which nothing is known yet asks for them itself.
+func (t *Teller) with(vm ids.VM, news *wire.News) *wire.News {
+	t.mu.Lock()
+	known, ok := t.known[vm]
+	t.mu.Unlock()
+	if !ok || known >= store.Revision(news.GetRevision()) {
+		return news
+	}
+	list, revision := t.o.Since(known)
+	out := proto.CloneOf(news)
+	out.Revision = uint64(revision)
+	out.Changes = encode(list)
+	return out
+}
+
+func encode(list []store.Change) []*wire.StoreChange {
+	out := make([]*wire.StoreChange, 0, len(list))
+	for _, c := range list {
+		out = append(out, &wire.StoreChange{Key: c.Key, Value: c.Value, Revision: uint64(c.Modified), Removed: c.Removed})
+	}
+	return out
+}
+
 func changes(list []*wire.StoreChange) []store.Change {
 	out := make([]store.Change, 0, len(list))
 	for _, c := range list {
