Changes go out through the routers on duty only, probes allow for the router's own slowness, repeats are counted by all

Cause on the grown sites: every router sent each change to every other, which filled links of 10 Mbit/s; probes then failed by hundreds though the upstreams lived, each router told the others of it, and all probed.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -26,54 +26,115 @@
 const (
 	// buckets divide the window; a repeat counts until its whole bucket has left the window.
 	buckets = 10
-	// margin keeps clear of the limit, since other routers' shares are known only roughly.
-	margin = 0.7
+	// margin keeps clear of the limit, since the other routers' counts are some hundred milliseconds old.
+	margin = 0.8
+	// newsLifetime is how long another router's counts hold without renewal.
+	newsLifetime = 3 * time.Second
 )
 
+// Counts are the requests and repeats of one router within the window.
+type Counts struct {
+	Requests int
+	Repeats  int
+}
+
 type window struct {
 	requests [buckets + 1]int
 	repeats  [buckets + 1]int
 	head     int64
 }
 
+type peerKey struct {
+	router  ids.VM
+	service ids.Service
+}
+
+type peerCounts struct {
+	Counts
+	at time.Time
+}
+
 // Budget counts requests and repeats. It is not safe for concurrent use.
 type Budget struct {
 	limits Limits
 	start  time.Time
 	by     map[ids.Service]*window
+	peers  map[peerKey]peerCounts
 }
 
 // New returns a budget without any counts.
 func New(l Limits, now time.Time) *Budget {
-	return &Budget{limits: l, start: now, by: map[ids.Service]*window{}}
+	return &Budget{limits: l, start: now, by: map[ids.Service]*window{}, peers: map[peerKey]peerCounts{}}
 }
 
 // SetLimits replaces the limits; what was counted stays.
 func (b *Budget) SetLimits(l Limits) { b.limits = l }
 
+// Peer takes another router's counts for a service.
+func (b *Budget) Peer(router ids.VM, s ids.Service, c Counts, now time.Time) {
+	b.peers[peerKey{router, s}] = peerCounts{Counts: c, at: now}
+}
+
+// Own returns this router's counts by service.
+func (b *Budget) Own(now time.Time) map[ids.Service]Counts {
+	out := make(map[ids.Service]Counts, len(b.by))
+	for s := range b.by {
+		if c := b.window(s, now).sum(); c != (Counts{}) {
+			out[s] = c
+		}
+	}
+	return out
+}
+
 // Request counts a caller's request.
 func (b *Budget) Request(s ids.Service, now time.Time) {
 	w := b.window(s, now)
 	w.requests[w.head%(buckets+1)]++
 }
 
-// Take counts a repeat, or returns false when the router's share of the limit is used up. Routers is the number of routers
-// that share the slack.
+// Take counts a repeat, or returns false when the limit is used up. Routers is the number of routers that share it. What the
+// others have done since their last word is taken to be what this one has done in the present bucket.
 func (b *Budget) Take(s ids.Service, now time.Time, routers int) bool {
 	w := b.window(s, now)
-	requests, repeats := 0, 0
-	for i := range w.requests {
-		requests += w.requests[i]
-		repeats += w.repeats[i]
+	total := w.sum()
+	unheard := routers - 1
+	for key, c := range b.peers {
+		if key.service != s {
+			continue
+		}
+		if now.Sub(c.at) > newsLifetime {
+			delete(b.peers, key)
+			continue
+		}
+		total.Requests += c.Requests
+		total.Repeats += c.Repeats
+		unheard--
 	}
-	allowed := margin * (b.limits.Ratio*float64(requests) + b.limits.Slack/float64(max(1, routers)))
-	if float64(repeats+1) > allowed {
+	recent := w.repeats[w.head%(buckets+1)]
+	allowed := margin*(b.limits.Ratio*float64(total.Requests)+b.limits.Slack) - float64(recent*(routers-1)/peersBetweenNews)
+	if unheard > 0 {
+		// Routers that are not heard may use their share of the slack.
+		allowed -= margin * b.limits.Slack * float64(unheard) / float64(routers)
+	}
+	if float64(total.Repeats+1) > allowed {
 		return false
 	}
 	w.repeats[w.head%(buckets+1)]++
 	return true
 }
 
+// peersBetweenNews is the part of the routers that meets the same trouble between two words of theirs: one in this many.
+const peersBetweenNews = 4
+
+func (w *window) sum() Counts {
+	var c Counts
+	for i := range w.requests {
+		c.Requests += w.requests[i]
+		c.Repeats += w.repeats[i]
+	}
+	return c
+}
+
 func (b *Budget) window(s ids.Service, now time.Time) *window {
 	w, known := b.by[s]
 	if !known {
--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -21,6 +21,11 @@
 	domainWindow = time.Second
 	// domainLosses is the number of upstreams lost together that puts their failure domain under suspicion.
 	domainLosses = 2
+	// doubtTime is how long another router's word on a loss counts: the upstream registers its next start by then, or the
+	// other router has found it again.
+	doubtTime = time.Second
+	// probePause is the least time between the probes of an upstream that is out of use.
+	probePause = time.Second
 )
 
 // Upstream is one registered upstream.
@@ -28,6 +33,10 @@
 	Entry
 	// lostAt is when it was last found unreachable, zero when it is in use.
 	lostAt time.Time
+	// doubtedAt is when another router last found it unreachable.
+	doubtedAt time.Time
+	// probedAt is when it was last probed while it was out of use.
+	probedAt time.Time
 	// missingSince is when its entry vanished while the store may have dropped living entries.
 	missingSince time.Time
 }
@@ -111,17 +120,43 @@
 	if !known || u.Started != started {
 		return
 	}
-	if u.lostAt.IsZero() {
-		recent := slices.DeleteFunc(d.losses[u.Domain], func(t time.Time) bool { return now.Sub(t) > domainWindow })
-		d.losses[u.Domain] = append(recent, now)
+	if u.lostAt.IsZero() && now.Sub(u.doubtedAt) > doubtTime {
+		d.countLoss(u.Domain, now)
 	}
 	u.lostAt = now
+	u.probedAt = now
+}
+
+func (d *Directory) countLoss(domain ids.FailureDomain, now time.Time) {
+	recent := slices.DeleteFunc(d.losses[domain], func(t time.Time) bool { return now.Sub(t) > domainWindow })
+	d.losses[domain] = append(recent, now)
+}
+
+// Doubt notes that another router found an upstream unreachable, and tells whether that is news.
+func (d *Directory) Doubt(id ids.VM, started int64, now time.Time) bool {
+	u, known := d.upstreams[id]
+	if !known || u.Started != started || !u.lostAt.IsZero() {
+		return false
+	}
+	fresh := now.Sub(u.doubtedAt) > doubtTime
+	u.doubtedAt = now
+	if fresh {
+		d.countLoss(u.Domain, now)
+	}
+	return fresh
+}
+
+// IsLost tells whether an upstream is out of use since it was found unreachable.
+func (d *Directory) IsLost(id ids.VM, started int64) bool {
+	u, known := d.upstreams[id]
+	return known && u.Started == started && !u.lostAt.IsZero()
 }
 
 // Found puts an upstream back in use.
 func (d *Directory) Found(id ids.VM, started int64) {
 	if u, known := d.upstreams[id]; known && u.Started == started {
 		u.lostAt = time.Time{}
+		u.doubtedAt = time.Time{}
 	}
 }
 
@@ -132,6 +167,11 @@
 	}
 }
 
+// Doubtful tells whether an upstream is better not given work: it, or its failure domain, seems to be lost.
+func (d *Directory) Doubtful(u Upstream, now time.Time) bool {
+	return !u.lostAt.IsZero() || now.Sub(u.doubtedAt) <= doubtTime || d.Suspect(u.Domain, now)
+}
+
 // Suspect tells that several upstreams of a failure domain were lost within a short time.
 func (d *Directory) Suspect(domain ids.FailureDomain, now time.Time) bool {
 	n := 0
@@ -143,11 +183,6 @@
 	return n >= domainLosses
 }
 
-// InDomain returns the upstreams of a failure domain that may be given work.
-func (d *Directory) InDomain(domain ids.FailureDomain) []Upstream {
-	return d.list(func(u *Upstream) bool { return u.Domain == domain && u.InUse() })
-}
-
 // Get returns an upstream.
 func (d *Directory) Get(id ids.VM) (Upstream, bool) {
 	u, known := d.upstreams[id]
@@ -160,9 +195,32 @@
 // InUse tells whether an upstream may be given work.
 func (u Upstream) InUse() bool { return !u.Draining && u.lostAt.IsZero() }
 
-// Usable returns the upstreams of a service that may be given work, in the order of their ids.
+// Usable returns the upstreams of a service that may be given work, in the order of their ids. When all were lost, those
+// that are still registered are worth a try.
 func (d *Directory) Usable(service ids.Service) []Upstream {
-	return d.list(func(u *Upstream) bool { return u.Service == service && u.InUse() })
+	list := d.list(func(u *Upstream) bool { return u.Service == service && u.InUse() })
+	if len(list) > 0 {
+		return list
+	}
+	return d.list(func(u *Upstream) bool { return u.Service == service && !u.Draining })
+}
+
+// ToProbe returns the upstream that has been out of use longest without a probe, and notes the probe.
+func (d *Directory) ToProbe(now time.Time) (Upstream, bool) {
+	var next *Upstream
+	for _, u := range d.upstreams {
+		if u.lostAt.IsZero() || now.Sub(u.probedAt) < probePause {
+			continue
+		}
+		if next == nil || u.probedAt.Before(next.probedAt) {
+			next = u
+		}
+	}
+	if next == nil {
+		return Upstream{}, false
+	}
+	next.probedAt = now
+	return *next, true
 }
 
 // LostOnes returns the registered upstreams that are out of use since they were lost.
--- a/core/mirror/duty.go
+++ b/core/mirror/duty.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,22 @@
 // Gone notes that another router has ended.
 func (d *Duty) Gone(vm ids.VM) { delete(d.peers, vm) }
 
+// Serves tells whether this router is the one of those on duty that sends a router the changes of the store.
+func (d *Duty) Serves(vm ids.VM, now time.Time) bool {
+	if !d.Watch(now) {
+		return false
+	}
+	onDuty := []uint64{d.self}
+	for peer, at := range d.peers {
+		if now.Sub(at) <= freshTime && peer != vm {
+			onDuty = append(onDuty, order(peer))
+		}
+	}
+	slices.Sort(onDuty)
+	onDuty = onDuty[:min(len(onDuty), watchers)]
+	return onDuty[order(vm)%uint64(len(onDuty))] == d.self
+}
+
 // Watch tells whether the router must watch the store: fewer than enough routers before it in the common order are served by
 // the store.
 func (d *Duty) Watch(now time.Time) bool {
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -88,14 +88,13 @@
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
 	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
 	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop}
-	w.check = a.edge.probes.check
 	a.follower = mirror.NewFollower(mirror.Options{
 		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Reached: w.storeReached,
 		Silent: o.ForgetStore, Learned: func() { w.nudge() }, Watch: w.watches,
 	})
 	a.teller = neighbour.NewTeller(neighbour.Options{
 		Self: cfg.VM, Seeds: without(cfg.Seeds, cfg.Peers), Dialer: dialer, Clock: o.Clock, Log: o.Log, Group: g, News: a.news, Take: a.takeNews,
-		Merge: a.follower.Merge, Since: a.follower.Since,
+		Serves: w.serves, Merge: a.follower.Merge, Since: a.follower.Since,
 	})
 	w.nudge = a.teller.Nudge
 	w.routerChanged = a.routerChanged
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -126,7 +126,7 @@
 	var again []placing.Candidate
 	for _, u := range all {
 		byID[u.ID] = u
-		c := placing.Candidate{ID: u.ID, Domain: u.Domain, Suspect: x.fleet.Suspect(u.Domain, now)}
+		c := placing.Candidate{ID: u.ID, Domain: u.Domain, Suspect: x.fleet.Doubtful(u, now)}
 		if tried[u.ID] {
 			again = append(again, c)
 		} else {
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -63,12 +63,15 @@
 	return c.kept
 }
 
-// lost notes that an upstream is out of use. The caller holds the stream's lock.
-func (c *copier) lost(u fleet.Upstream) {
-	if c.ordered != nil && c.ordered.at.ID == u.ID {
+// lost notes that an upstream, or its whole failure domain, is out of use. The caller holds the stream's lock.
+func (c *copier) lost(u fleet.Upstream, wholeDomain bool) {
+	hit := func(m *memoryCopy) bool {
+		return m != nil && (m.at.ID == u.ID || wholeDomain && m.at.Domain == u.Domain)
+	}
+	if hit(c.ordered) {
 		c.ordered = nil
 	}
-	if c.kept == nil || c.kept.at.ID != u.ID {
+	if !hit(c.kept) {
 		return
 	}
 	c.kept = nil
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bilberrylug.dev/core/budget"
 	"bilberrylug.dev/core/event"
-	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/placing"
 	"bilberrylug.dev/core/store"
@@ -67,6 +67,9 @@
 			n.Lost = append(n.Lost, &wire.LostUpstream{Upstream: string(u.ID), Started: u.Started})
 		}
 	}
+	for service, c := range w.budget.Own(now) {
+		n.Counts = append(n.Counts, &wire.Counts{Service: string(service), Requests: uint32(c.Requests), Repeats: uint32(c.Repeats)})
+	}
 	n.Homes = w.newHomes
 	w.newHomes = nil
 	return n
@@ -97,16 +100,12 @@
 	for _, h := range n.GetHomes() {
 		w.homes.Set(h.GetPrompt(), ids.VM(h.GetUpstream()), now)
 	}
-	var doubtful []fleet.Upstream
-	for _, l := range n.GetLost() {
-		u, known := w.fleet.Get(ids.VM(l.GetUpstream()))
-		if known && u.Started == l.GetStarted() && u.InUse() {
-			doubtful = append(doubtful, u)
-		}
+	for _, c := range n.GetCounts() {
+		w.budget.Peer(ids.VM(n.GetSender()), ids.Service(c.GetService()), budget.Counts{Requests: int(c.GetRequests()), Repeats: int(c.GetRepeats())}, now)
 	}
 	w.mu.Unlock()
-	for _, u := range doubtful {
-		w.check(u)
+	for _, l := range n.GetLost() {
+		w.doubt(ids.VM(l.GetUpstream()), l.GetStarted())
 	}
 }
 
--- a/router/direct/probe.go
+++ b/router/direct/probe.go
@@ -15,41 +15,82 @@
 type connection = *upstream.Conn
 
 const (
-	// probeTime bounds a probe: a living VM answers within its round trip of some milliseconds.
-	probeTime = 60 * time.Millisecond
-	// retryProbe is the pause between the probes of an upstream that is out of use.
-	retryProbe = 500 * time.Millisecond
+	// minProbe and maxProbe bound the time in which a probe must be answered: a living VM answers within its round trip of
+	// some milliseconds, unless this VM's own link or processor is busy.
+	minProbe = 80 * time.Millisecond
+	maxProbe = 350 * time.Millisecond
+	// probeRounds is the number of usual connection times after which a probe counts as unanswered.
+	probeRounds = 8
+	// connectWeight is the weight of a connection time in the running mean.
+	connectWeight = 0.3
+	// recentCheck is the pause within which an upstream is not checked aside twice.
+	recentCheck = 100 * time.Millisecond
+	// retryProbe is the pause between the probes of upstreams that are out of use. One at a time is probed, since all routers
+	// do so.
+	retryProbe = 250 * time.Millisecond
 )
 
-// prober finds out whether an upstream's VM answers, by opening a connection, which is kept for later requests.
+// prober finds out whether an upstream's VM answers, by opening a connection, which is kept for later requests. An upstream
+// that was out of use and answers is put back in use.
 type prober struct {
 	*world
 	group  *group.Group
 	flight singleflight.Group
 	// checked is when an upstream was last checked aside.
 	checked map[ids.VM]time.Time
+	// usual is the running mean of the connection times.
+	usual time.Duration
 }
 
 // alive opens a connection to the upstream; callers that ask at the same time share the answer.
 func (p *prober) alive(u fleet.Upstream) bool {
 	_, err, _ := p.flight.Do(string(u.ID), func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTime)
-		defer cancel()
 		p.metrics.Counter("probes").Inc(1)
-		conn, err := p.pool.Dial(ctx, u.Address)
-		if err != nil {
+		answered := make(chan error, 1)
+		p.group.Go(func(ctx context.Context) { answered <- p.connect(ctx, u) })
+		select {
+		case err := <-answered:
 			return nil, err
+		case <-p.clock.After(p.patience()):
+			return nil, context.DeadlineExceeded
 		}
-		p.pool.Keep(conn)
-		return nil, nil
 	})
 	return err == nil
 }
 
+// connect opens a connection for the pool and measures how long that takes, also beyond the probe's patience, so that this
+// VM's own slowness is noticed.
+func (p *prober) connect(ctx context.Context, u fleet.Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, maxProbe)
+	defer cancel()
+	began := p.clock.Now()
+	conn, err := p.pool.Dial(ctx, u.Address)
+	if err != nil {
+		return err
+	}
+	p.pool.Keep(conn)
+	taken := p.clock.Since(began)
+	p.mu.Lock()
+	p.usual += time.Duration(connectWeight * float64(taken-p.usual))
+	late := p.fleet.IsLost(u.ID, u.Started)
+	p.mu.Unlock()
+	if late {
+		p.found(u)
+	}
+	return nil
+}
+
+// patience is the time in which a probe must be answered.
+func (p *prober) patience() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return min(maxProbe, max(minProbe, probeRounds*p.usual))
+}
+
 // check probes an upstream aside and takes it out of use if it does not answer.
 func (p *prober) check(u fleet.Upstream) {
 	p.mu.Lock()
-	recent := p.clock.Since(p.checked[u.ID]) < probeTime
+	recent := p.clock.Since(p.checked[u.ID]) < recentCheck
 	p.checked[u.ID] = p.clock.Now()
 	p.mu.Unlock()
 	if recent {
@@ -66,14 +107,10 @@
 func (p *prober) run(ctx context.Context) {
 	group.Every(ctx, p.clock, retryProbe, func() {
 		p.mu.Lock()
-		list := p.fleet.LostOnes()
+		u, found := p.fleet.ToProbe(p.clock.Now())
 		p.mu.Unlock()
-		for _, u := range list {
-			p.group.Go(func(context.Context) {
-				if p.alive(u) {
-					p.found(u)
-				}
-			})
+		if found {
+			p.alive(u)
 		}
 	})
 }
--- a/router/direct/silence.go
+++ b/router/direct/silence.go
@@ -16,6 +16,8 @@
 	suspectSilence = 40 * time.Millisecond
 	// probeAgain is the pause between the probes of one silent upstream.
 	probeAgain = 250 * time.Millisecond
+	// confirmAgain is the pause before a second probe.
+	confirmAgain = 60 * time.Millisecond
 	// firstSilence is the silence before the first event after which an upstream is probed: reading a prompt takes longer.
 	firstSilence = 350 * time.Millisecond
 	// hungSilence is the silence in the middle of a stream after which a run is given up though the VM answers.
@@ -34,6 +36,8 @@
 	lastEvent time.Time
 	usual     time.Duration
 	events    int
+	// unanswered counts the probes in a row without an answer.
+	unanswered int
 }
 
 // event notes an event.
@@ -81,8 +85,14 @@
 		return probeAgain, nil
 	}
 	if !s.probes.alive(r.at) {
-		return 0, errDead
+		r.silence.unanswered++
+		// Before the first event there is time for a second probe, and a prompt that is read elsewhere is costly.
+		if r.silence.events > 0 || suspect || r.silence.unanswered > 1 {
+			return 0, errDead
+		}
+		return confirmAgain, nil
 	}
+	r.silence.unanswered = 0
 	if r.silence.events > 0 && quiet >= hungSilence {
 		return 0, errHung
 	}
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -258,11 +258,11 @@
 }
 
 // copyLost tells that an upstream is out of use that may keep a copy of the generation's memory.
-func (s *stream) copyLost(u fleet.Upstream) {
+func (s *stream) copyLost(u fleet.Upstream, wholeDomain bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.copier != nil {
-		s.copier.lost(u)
+		s.copier.lost(u, wholeDomain)
 	}
 }
 
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -51,8 +51,6 @@
 	running map[ids.VM]map[*stream]bool
 	// duty decides whether this router watches the store.
 	duty *mirror.Duty
-	// check probes an upstream aside.
-	check func(u fleet.Upstream)
 	// nudge has the other routers told soon.
 	nudge func()
 	// homes remembers where prompts were read; newHomes are those that the others have not been told.
@@ -144,6 +142,13 @@
 	return w.duty.Watch(w.clock.Now())
 }
 
+// serves tells whether this router sends another the changes of the store.
+func (w *world) serves(vm ids.VM) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.duty.Serves(vm, w.clock.Now())
+}
+
 // countRouters notes how many routers share the limits.
 func (w *world) countRouters(n int) {
 	w.mu.Lock()
@@ -169,39 +174,64 @@
 	fresh := ok && known.Started == u.Started && known.LostAt().IsZero()
 	w.fleet.Lost(u.ID, u.Started, now)
 	suspect := w.fleet.Suspect(u.Domain, now)
-	var woken []*stream
-	var all []*stream
-	for id, list := range w.running {
-		other, known := w.fleet.Get(id)
-		affected := id == u.ID || suspect && known && other.Domain == u.Domain
-		for s := range list {
-			all = append(all, s)
-			if affected {
-				woken = append(woken, s)
-			}
-		}
-	}
-	var doubtful []fleet.Upstream
-	if fresh && suspect {
-		doubtful = w.fleet.InDomain(u.Domain)
-	}
+	affected := w.affected(u, suspect)
 	w.mu.Unlock()
 	w.pool.Drop(u.Address)
 	if fresh {
 		w.log.Write(event.UpstreamLost, "upstream", u.ID, "failure_domain", u.Domain, "reason", reason, "domain_suspect", suspect)
 		w.metrics.Counter("upstreams_lost").Inc(1)
 	}
-	for _, s := range woken {
-		s.wake()
+	affected.tell(u, suspect)
+	if fresh {
+		w.nudge()
+	}
+}
+
+// doubt takes another router's word that an upstream was lost.
+func (w *world) doubt(id ids.VM, started int64) {
+	now := w.clock.Now()
+	w.mu.Lock()
+	u, known := w.fleet.Get(id)
+	if !known || !w.fleet.Doubt(id, started, now) {
+		w.mu.Unlock()
+		return
 	}
-	for _, s := range all {
-		s.copyLost(u)
+	suspect := w.fleet.Suspect(u.Domain, now)
+	affected := w.affected(u, suspect)
+	w.mu.Unlock()
+	affected.tell(u, suspect)
+}
+
+// affectedStreams are the streams that a loss concerns: waiting those whose upstream may be lost too, all those under way,
+// whose copies may be.
+type affectedStreams struct {
+	waiting []*stream
+	all     []*stream
+}
+
+// affected returns the streams that the loss of an upstream concerns. The caller holds the lock.
+func (w *world) affected(u fleet.Upstream, suspect bool) affectedStreams {
+	var out affectedStreams
+	for id, list := range w.running {
+		other, known := w.fleet.Get(id)
+		hit := id == u.ID || suspect && known && other.Domain == u.Domain
+		for s := range list {
+			out.all = append(out.all, s)
+			if hit {
+				out.waiting = append(out.waiting, s)
+			}
+		}
 	}
-	for _, d := range doubtful {
-		w.check(d)
+	return out
+}
+
+// tell has the waiting streams look at their upstreams now, and has lost copies made anew.
+func (a affectedStreams) tell(u fleet.Upstream, suspect bool) {
+	for _, s := range a.waiting {
+		s.wake()
 	}
-	if fresh {
-		w.nudge()
+	for _, s := range a.all {
+		s.copyLost(u, suspect)
 	}
 }
 
--- a/router/neighbour/server.go
+++ b/router/neighbour/server.go
@@ -25,10 +25,15 @@
 	// A router that has started anew has less than before.
 	t.known[vm] = store.Revision(n.GetRevision())
 	t.mu.Unlock()
-	if len(n.GetChanges()) > 0 {
+	if n.GetComplete() {
 		t.o.Merge(changes(n.GetChanges()), store.Revision(n.GetRevision()))
 	}
 	t.o.Take(n)
 	list, revision := t.o.Since(store.Revision(n.GetRevision()))
-	return &wire.NewsReply{Revision: uint64(revision), Changes: encode(list)}, nil
+	reply := &wire.NewsReply{Revision: uint64(revision)}
+	if t.sends(vm, store.Revision(n.GetRevision()), revision) {
+		reply.Changes = encode(list)
+		reply.Complete = true
+	}
+	return reply, nil
 }
--- a/router/neighbour/teller.go
+++ b/router/neighbour/teller.go
@@ -33,6 +33,8 @@
 	tellIdle = 500 * time.Millisecond
 	// tellTime bounds one telling.
 	tellTime = 400 * time.Millisecond
+	// servedTime is how long a router may lack changes before others than the one that serves it send them.
+	servedTime = 700 * time.Millisecond
 	// heardLife is how long a router counts as present after its last word, though the store does not list it.
 	heardLife = 3 * time.Second
 )
@@ -52,6 +54,8 @@
 	Take func(n *wire.News)
 	// Merge takes changes of the store.
 	Merge func(list []store.Change, upTo store.Revision)
+	// Serves tells whether this router is the one that sends another the changes of the store.
+	Serves func(vm ids.VM) bool
 	// Since returns the changes of the store behind a revision.
 	Since func(since store.Revision) ([]store.Change, store.Revision)
 }
@@ -67,8 +71,9 @@
 	heard   map[ids.VM]peer
 	telling map[ids.VM]bool
 	failed  map[ids.VM]bool
-	// known is the store's revision that another router is known to have reached.
-	known map[ids.VM]store.Revision
+	// known is the store's revision that another router is known to have reached, behind since when it lacks changes.
+	known  map[ids.VM]store.Revision
+	behind map[ids.VM]time.Time
 }
 
 type peer struct {
@@ -80,7 +85,7 @@
 func NewTeller(o Options) *Teller {
 	return &Teller{
 		o: o, nudge: make(chan struct{}, 1), listed: map[ids.VM]string{}, heard: map[ids.VM]peer{}, telling: map[ids.VM]bool{},
-		failed: map[ids.VM]bool{}, known: map[ids.VM]store.Revision{},
+		failed: map[ids.VM]bool{}, known: map[ids.VM]store.Revision{}, behind: map[ids.VM]time.Time{},
 	}
 }
 
@@ -173,7 +178,7 @@
 	reply, err := wire.NewDRPCNeighbourClient(conn).Tell(ctx, t.with(vm, news))
 	t.mu.Lock()
 	if err == nil {
-		t.known[vm] = max(t.known[vm], store.Revision(max(news.GetRevision(), reply.GetRevision())))
+		t.known[vm] = store.Revision(reply.GetRevision())
 	}
 	t.telling[vm] = false
 	before := t.failed[vm]
@@ -188,7 +193,7 @@
 	if before {
 		t.o.Log.Write(event.PeerChanged, "router", vm, "state", "answers again")
 	}
-	if len(reply.GetChanges()) > 0 {
+	if reply.GetComplete() {
 		t.o.Merge(changes(reply.GetChanges()), store.Revision(reply.GetRevision()))
 	}
 }
@@ -198,16 +203,35 @@
 	t.mu.Lock()
 	known, ok := t.known[vm]
 	t.mu.Unlock()
-	if !ok || known >= store.Revision(news.GetRevision()) {
+	if !ok || !t.sends(vm, known, store.Revision(news.GetRevision())) {
 		return news
 	}
 	list, revision := t.o.Since(known)
 	out := proto.CloneOf(news)
 	out.Revision = uint64(revision)
 	out.Changes = encode(list)
+	out.Complete = true
 	return out
 }
 
+// sends tells whether this router sends another the changes that it lacks: it is the one that serves it, or nobody else has
+// done so for a while. The whole configuration to all routers from all routers would fill the smaller links.
+func (t *Teller) sends(vm ids.VM, known, own store.Revision) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known >= own {
+		delete(t.behind, vm)
+		return false
+	}
+	now := t.o.Clock.Now()
+	since, late := t.behind[vm]
+	if !late {
+		t.behind[vm] = now
+		since = now
+	}
+	return t.o.Serves(vm) || now.Sub(since) > servedTime
+}
+
 func encode(list []store.Change) []*wire.StoreChange {
 	out := make([]*wire.StoreChange, 0, len(list))
 	for _, c := range list {
