--- a/core/mirror/duty.go
+++ b/core/mirror/duty.go
@@ -20,8 +20,9 @@
 // Duty decides whether a router watches the store itself or relies on others, since each call of the store counts. It is not
 // safe for concurrent use.
 type Duty struct {
-	self  uint64
-	peers map[ids.VM]time.Time
+	self   uint64
+	selfAt time.Time
+	peers  map[ids.VM]time.Time
 }
 
 // NewDuty returns the duty of a router that has heard of no other.
@@ -32,6 +33,22 @@
 // Heard notes when the store last answered another router.
 func (d *Duty) Heard(vm ids.VM, at time.Time) { d.peers[vm] = at }
 
+// HeardSelf notes that the store has answered this router.
+func (d *Duty) HeardSelf(now time.Time) { d.selfAt = now }
+
+// Served tells whether the store answers this router or another that is in touch.
+func (d *Duty) Served(now time.Time) bool {
+	if !d.selfAt.IsZero() && now.Sub(d.selfAt) <= freshTime {
+		return true
+	}
+	for _, at := range d.peers {
+		if now.Sub(at) <= freshTime {
+			return true
+		}
+	}
+	return false
+}
+
 // Gone notes that another router has ended.
 func (d *Duty) Gone(vm ids.VM) { delete(d.peers, vm) }
 
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -39,8 +39,8 @@
 	Changed func(news []store.Change)
 	// Learned is called after the store itself has brought news.
 	Learned func()
-	// Reached is told when the store answers again after a failure, and with false when it fails.
-	Reached func(reached bool)
+	// Answered is called at each answer of the store, before its news are told.
+	Answered func()
 	// Watch tells whether this router watches the store itself; if not, others send it the changes.
 	Watch func() bool
 	// Silent is called after a call without an answer, so that its connection is not used again.
@@ -156,10 +156,9 @@
 	}
 	if err != nil {
 		f.o.Log.Write(event.StoreFailed, "error", err.Error(), "revision", uint64(revision))
-	} else {
-		f.o.Log.Write(event.StoreReached, "revision", uint64(revision))
+		return
 	}
-	f.o.Reached(err == nil)
+	f.o.Log.Write(event.StoreReached, "revision", uint64(revision))
 }
 
 // list reads all prefixes anew.
@@ -173,6 +172,7 @@
 		if at == 0 || revision < at {
 			at = revision
 		}
+		f.o.Answered()
 		f.mu.Lock()
 		f.o.Changed(f.replica.Reset(prefix, items, revision))
 		f.mu.Unlock()
@@ -218,6 +218,7 @@
 	if err != nil {
 		return err
 	}
+	f.o.Answered()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.apply(changes.List, changes.Revision)
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -89,7 +89,7 @@
 	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
 	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop}
 	a.follower = mirror.NewFollower(mirror.Options{
-		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Reached: w.storeReached,
+		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Answered: w.storeAnswered,
 		Silent: o.ForgetStore, Learned: func() { w.nudge() }, Watch: w.watches,
 	})
 	a.teller = neighbour.NewTeller(neighbour.Options{
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -109,6 +109,7 @@
 	now := w.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.noteStore(now)
 	if c.Removed {
 		id := ids.VM(c.Key[len(w.decode.Layout.Upstreams):])
 		w.fleet.Remove(id, now)
@@ -129,12 +130,19 @@
 		"failure_domain", e.Domain, "draining", e.Draining, "started", e.Started, "store_revision", uint64(c.Modified))
 }
 
-func (w *world) storeReached(reached bool) {
+// storeAnswered notes that the store has answered this router.
+func (w *world) storeAnswered() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.fleet.StoreReached(reached, w.clock.Now())
+	now := w.clock.Now()
+	w.noteStore(now)
+	w.duty.HeardSelf(now)
+	w.noteStore(now)
 }
 
+// noteStore tells the directory whether the store answers any router that is in touch. The caller holds the lock.
+func (w *world) noteStore(now time.Time) { w.fleet.StoreReached(w.duty.Served(now), now) }
+
 // watches tells whether this router watches the store itself.
 func (w *world) watches() bool {
 	w.mu.Lock()
@@ -160,7 +168,9 @@
 func (w *world) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, id := range w.fleet.Expire(w.clock.Now()) {
+	now := w.clock.Now()
+	w.noteStore(now)
+	for _, id := range w.fleet.Expire(now) {
 		w.log.Write(event.UpstreamChanged, "upstream", id, "state", "not back after the store's outage")
 	}
 	w.pool.Sweep()
