--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -87,8 +87,11 @@
 	delete(d.upstreams, id)
 }
 
-// StoreReached notes that the store answers, or no longer does.
+// StoreReached notes that the store answers, or no longer does. Before anything is known, that is no outage.
 func (d *Directory) StoreReached(reached bool, now time.Time) {
+	if !reached && len(d.upstreams) == 0 {
+		return
+	}
 	if reached && d.storeDown {
 		d.storeBack = now
 	}
--- a/core/fleet/directory_test.go
+++ b/core/fleet/directory_test.go
@@ -72,6 +72,14 @@
 		Expect(d.Expire(start.Add(7100 * time.Millisecond))).To(Equal([]ids.VM{"1"}))
 		Expect(usable(d)).To(Equal([]ids.VM{"0"}))
 	})
+	It("takes a removed entry as gone at once after its own start, which is no outage", func() {
+		d := fleet.New(2 * time.Second)
+		d.StoreReached(false, start)
+		d.StoreReached(true, start.Add(time.Second))
+		d.Put(entry("0", 1))
+		d.Remove("0", start.Add(1100*time.Millisecond))
+		Expect(usable(d)).To(BeEmpty())
+	})
 	It("takes a removed entry as gone at once while the store answers", func() {
 		d := served(fleet.New(2 * time.Second))
 		d.Put(entry("0", 1))
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -34,7 +34,7 @@
 	pause      time.Duration
 	firstAfter time.Duration
 	lastAt     time.Time
-	tried  map[ids.VM]bool
+	tried      map[ids.VM]bool
 	// failed is the last answer by which an upstream failed the request.
 	failed *answer
 
@@ -66,7 +66,7 @@
 	s := &stream{
 		exchange: x, model: x.engineModel(), last: x.req.LastEvent, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
 		lostIn: map[ids.FailureDomain]bool{},
-		need: placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput},
+		need:   placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput},
 	}
 	for {
 		err := s.try()
