Engines list their prompts to routers that start, and a living engine is sent a prompt again that it has read

Cause: answers that were lost before their first event were sent to another engine, which read the prompt again; callers that came back after the loss of all routers found another engine.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -30,6 +30,7 @@
 	RequestAttemptEnd = Kind{"EV4304", slog.LevelInfo, "upstream's run of a request ended", noAction}
 	CopyOrdered       = Kind{"EV4305", slog.LevelInfo, "copy of a generation's memory made", noAction}
 	CopyFailed        = Kind{"EV4306", slog.LevelInfo, "copy of a generation's memory failed", "None; it is tried again while the generation runs."}
+	PromptsUnknown    = Kind{"EV4307", slog.LevelInfo, "engine did not list its prompts", "None; prompts may be read again."}
 	Draining          = Kind{"EV3003", slog.LevelInfo, "upstream is leaving", "Stop the VM when its running work is zero."}
 	AttemptStarted    = Kind{"EV4001", slog.LevelDebug, "attempt started", noAction}
 	AttemptLost       = Kind{"EV4002", slog.LevelWarn, "attempt lost", "Check the named upstream; the answer is resumed elsewhere."}
@@ -54,7 +55,7 @@
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamFound, PeerChanged,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
-	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnd, CopyOrdered, CopyFailed,
+	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnd, CopyOrdered, CopyFailed, PromptsUnknown,
 	CallUnknown, CallSettled, LedgerWriteLost,
 	LeaseHeld, LeaseLost, OrderGiven, OrderRefused,
 }
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -34,7 +34,7 @@
 	// Tokens is the length of the prompt, MaxOutput the bound of what is generated.
 	Tokens    int
 	MaxOutput int
-	// Name identifies the prompt: equal prompts have equal names.
+	// Name identifies the prompt among those that an engine keeps in memory.
 	Name string
 }
 
@@ -105,6 +105,10 @@
 	CopyCall(run ids.Request, to string) Call
 	// CopyName decodes the answer of that call.
 	CopyName(body []byte) (string, error)
+	// PromptsCall returns the call by which an engine lists the prompts that it keeps in memory.
+	PromptsCall() Call
+	// Prompts decodes the names of the prompts from the answer of that call.
+	Prompts(body []byte) ([]string, error)
 	// Refuse sets the headers of the router's own refusal.
 	Refuse(h http.Header, req Request, retryAfter time.Duration)
 }
--- a/core/routing/config.go
+++ b/core/routing/config.go
@@ -155,6 +155,17 @@
 // NeedsKey tells whether a route's callers must show a key.
 func (c *Config) NeedsKey(r Route) bool { return c.closed && !r.Public }
 
+// Engines returns the services of model engines.
+func (c *Config) Engines() []ids.Service {
+	var out []ids.Service
+	for name, s := range c.services {
+		if s.Engine != nil {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Service returns a service by name.
 func (c *Config) Service(name ids.Service) (Service, bool) {
 	s, known := c.services[name]
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -87,7 +87,7 @@
 	stop := &stopper{clock: o.Clock, longWork: stopNotice}
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
 	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
-	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop}
+	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop, learnt: make(chan struct{})}
 	a.follower = mirror.NewFollower(mirror.Options{
 		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Answered: w.storeAnswered,
 		Silent: o.ForgetStore, Learned: func() { w.nudge() }, Watch: w.watches,
@@ -134,6 +134,7 @@
 	a.group.Go(a.follower.Run)
 	a.group.Go(a.teller.Run)
 	a.group.Go(a.keepEntry)
+	a.group.Go(a.edge.learnPrompts)
 	a.group.Go(a.edge.probes.run)
 	a.group.Go(func(ctx context.Context) { group.Every(ctx, a.o.Clock, expireInterval, a.tidy) })
 	a.o.Log.Write(event.Started, "callers", a.cfg.Callers, "failure_domain", a.cfg.FailureDomain)
--- /dev/null
+++ b/router/direct/control.go
@@ -0,0 +1,43 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/relay"
+	"bilberrylug.dev/router/upstream"
+)
+
+// control makes a call of the router's own at an upstream and returns its body.
+func (e *edge) control(ctx context.Context, u fleet.Upstream, call relay.Call) ([]byte, error) {
+	conn, err := e.pool.Get(ctx, u.Address)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, conn.Close)
+	defer stop()
+	//nolint:bodyclose // The connection owns the body: Done or Close ends it.
+	resp, err := conn.Do(ctx, upstream.Outgoing{
+		Method: call.Method, Target: call.Target, Host: u.Address, Header: call.Header, Body: call.Body,
+		Foreign: func(r *http.Response) bool { return e.dialect.Reply(r).Request != "" },
+	})
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	if stop() {
+		conn.Done()
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return body, nil
+}
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"net/http"
 	"time"
 
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/relay"
-	"bilberrylug.dev/router/upstream"
 )
 
 const (
@@ -137,32 +133,9 @@
 }
 
 func (c *copier) call(ctx context.Context, to fleet.Upstream) (string, error) {
-	conn, err := c.s.pool.Get(ctx, c.r.at.Address)
+	body, err := c.s.control(ctx, c.r.at, c.s.dialect.CopyCall(c.s.req.ID, to.Address))
 	if err != nil {
 		return "", err
 	}
-	stop := context.AfterFunc(ctx, conn.Close)
-	defer stop()
-	call := c.s.dialect.CopyCall(c.s.req.ID, to.Address)
-	//nolint:bodyclose // The connection owns the body: Done or Close ends it.
-	resp, err := conn.Do(ctx, upstream.Outgoing{
-		Method: call.Method, Target: call.Target, Host: c.r.at.Address, Header: call.Header, Body: call.Body,
-		Foreign: func(r *http.Response) bool { return c.s.dialect.Reply(r).Request != "" },
-	})
-	if err != nil {
-		conn.Close()
-		return "", err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil {
-		conn.Close()
-		return "", err
-	}
-	if stop() {
-		conn.Done()
-	}
-	if resp.StatusCode != http.StatusOK {
-		return "", fmt.Errorf("status %d", resp.StatusCode)
-	}
 	return c.s.dialect.CopyName(body)
 }
--- a/router/direct/edge.go
+++ b/router/direct/edge.go
@@ -43,6 +43,8 @@
 	dialect relay.Dialect
 	probes  *prober
 	stop    *stopper
+	// learnt is closed once the engines have been asked for their prompts.
+	learnt chan struct{}
 }
 
 // ServeHTTP implements http.Handler.
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -30,6 +30,8 @@
 	copied *memoryCopy
 	// lostIn holds the failure domains in which runs of this generation were lost.
 	lostIn map[ids.FailureDomain]bool
+	// failedAt holds the upstreams that failed a run and live.
+	failedAt map[ids.VM]bool
 	// pause is the longest pause between events, firstAfter the time to the first one.
 	pause      time.Duration
 	firstAfter time.Duration
@@ -65,7 +67,7 @@
 func (x *exchange) stream() {
 	s := &stream{
 		exchange: x, model: x.engineModel(), last: x.req.LastEvent, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
-		lostIn: map[ids.FailureDomain]bool{},
+		lostIn: map[ids.FailureDomain]bool{}, failedAt: map[ids.VM]bool{},
 		need:   placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput},
 	}
 	for {
@@ -170,16 +172,26 @@
 
 // afterRun draws conclusions from a run that did not end well.
 func (s *stream) afterRun(r *run, err error) {
-	s.tried[r.at.ID] = true
 	switch {
 	case s.callerGone():
-	case errors.Is(err, errNotRun), errors.Is(err, errMoved):
+	case errors.Is(err, errNotRun), errors.Is(err, errMoved), errors.Is(err, errHung):
+		s.tried[r.at.ID] = true
 	case errors.Is(err, errDead):
-		s.lostIn[r.at.Domain] = true
-		s.lost(r.at, err.Error())
+		s.leave(r, err)
+	case s.failedAt[r.at.ID] || !s.probes.alive(r.at):
+		s.leave(r, err)
 	default:
-		s.lostIn[r.at.Domain] = true
-		s.probes.check(r.at)
+		// The upstream lives and keeps the prompt, so it may be chosen once more.
+		s.failedAt[r.at.ID] = true
+	}
+}
+
+// leave keeps the next runs away from an upstream, and from its failure domain for copies.
+func (s *stream) leave(r *run, err error) {
+	s.tried[r.at.ID] = true
+	s.lostIn[r.at.Domain] = true
+	if !s.failedAt[r.at.ID] {
+		s.lost(r.at, err.Error())
 	}
 }
 
