--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -124,7 +124,7 @@
 }
 
 // peersBetweenNews is the part of the routers that meets the same trouble between two words of theirs: one in this many.
-const peersBetweenNews = 4
+const peersBetweenNews = 8
 
 func (w *window) sum() Counts {
 	var c Counts
--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -35,6 +35,8 @@
 	lostAt time.Time
 	// doubtedAt is when another router last found it unreachable.
 	doubtedAt time.Time
+	// provedAt is when it last answered a request.
+	provedAt time.Time
 	// probedAt is when it was last probed while it was out of use.
 	probedAt time.Time
 	// missingSince is when its entry vanished while the store may have dropped living entries.
@@ -172,11 +174,18 @@
 
 // Doubtful tells whether an upstream is better not given work: it, or its failure domain, seems to be lost.
 func (d *Directory) Doubtful(u Upstream, now time.Time) bool {
-	return !u.lostAt.IsZero() || now.Sub(u.doubtedAt) <= doubtTime || d.Suspect(u.Domain, now)
+	if !u.lostAt.IsZero() || now.Sub(u.doubtedAt) <= doubtTime {
+		return true
+	}
+	return d.Suspect(u.Domain, now) && !u.provedAt.After(d.lastLoss(u.Domain))
 }
 
-// Suspect tells that several upstreams of a failure domain were lost within a short time.
+// Suspect tells that several upstreams of a failure domain were lost within a short time. While the store is away, that
+// holds until its return: those that have started anew are registered only then.
 func (d *Directory) Suspect(domain ids.FailureDomain, now time.Time) bool {
+	if d.storeDown {
+		now = d.lastLoss(domain)
+	}
 	n := 0
 	for _, t := range d.losses[domain] {
 		if now.Sub(t) <= domainWindow {
@@ -186,6 +195,23 @@
 	return n >= domainLosses
 }
 
+func (d *Directory) lastLoss(domain ids.FailureDomain) time.Time {
+	var last time.Time
+	for _, t := range d.losses[domain] {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
+
+// Proved notes that an upstream has answered a request.
+func (d *Directory) Proved(id ids.VM, now time.Time) {
+	if u, known := d.upstreams[id]; known {
+		u.provedAt = now
+	}
+}
+
 // Get returns an upstream.
 func (d *Directory) Get(id ids.VM) (Upstream, bool) {
 	u, known := d.upstreams[id]
--- a/core/fleet/directory_test.go
+++ b/core/fleet/directory_test.go
@@ -98,6 +98,22 @@
 		Expect(d.Suspect("teesta", start.Add(1200*time.Millisecond))).To(BeFalse())
 		Expect(usable(d)).To(Equal([]ids.VM{"1", "2"}), "another router's word alone takes nothing out of use")
 	})
+	It("keeps a lost failure domain under suspicion while the store is away, but for those that answer again", func() {
+		d := served(fleet.New(2 * time.Second))
+		for i := range 4 {
+			d.Put(entry(fmt.Sprint(i), 1))
+		}
+		d.StoreReached(false, start)
+		d.Lost("0", 1, start.Add(time.Second))
+		d.Lost("1", 1, start.Add(time.Second))
+		later := start.Add(6 * time.Second)
+		d.Proved("3", start.Add(3*time.Second))
+		doubtful := func(id ids.VM) bool { u, _ := d.Get(id); return d.Doubtful(u, later) }
+		Expect(doubtful("2")).To(BeTrue())
+		Expect(doubtful("3")).To(BeFalse())
+		d.StoreReached(true, later)
+		Expect(doubtful("2")).To(BeFalse())
+	})
 	It("offers lost upstreams as a last resort, and never draining ones", func() {
 		d := served(fleet.New(2 * time.Second))
 		d.Put(entry("0", 1))
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -82,7 +82,10 @@
 	if x.mayHaveRun && !x.route.Repeatable() {
 		return fault.Wrap(fault.CallOutcomeUnknown, err, "sent once")
 	}
-	if x.attempts >= max(x.route.MaxAttempts, notRunAttempts) || x.mayHaveRun && x.attempts >= x.route.MaxAttempts {
+	if errors.Is(err, errNotRun) || errors.Is(err, errMoved) {
+		x.refusals++
+	}
+	if x.refusals >= notRunAttempts || x.attempts-x.refusals >= x.route.MaxAttempts {
 		return fault.Wrap(fault.QueueFull, err, "after %d attempts", x.attempts)
 	}
 	if !x.takeRepeat(x.service.Name) {
@@ -92,11 +95,11 @@
 }
 
 // notRunAttempts bounds the upstreams that may refuse a request before the caller is told.
-const notRunAttempts = 3
+const notRunAttempts = 6
 
 // mayRepeat tells whether the request may be sent once more after it ran.
 func (x *exchange) mayRepeat() bool {
-	return x.route.Repeatable() && x.attempts < x.route.MaxAttempts
+	return x.route.Repeatable() && x.attempts-x.refusals < x.route.MaxAttempts
 }
 
 // endCall passes an upstream's own failure on, if there is one, and refuses otherwise.
@@ -164,7 +167,7 @@
 		x.mu.Unlock()
 	}()
 	ctx := x.ctx
-	if x.route.Kind == routing.Idempotent && x.attempts+1 < x.route.MaxAttempts {
+	if x.route.Kind == routing.Idempotent && x.attempts-x.refusals+1 < x.route.MaxAttempts {
 		limited, cancel := context.WithTimeoutCause(ctx, time.Duration(firstShare*float64(x.left())), errTooSlow)
 		defer cancel()
 		ctx = limited
@@ -212,11 +215,14 @@
 		return nil, cause(ctx, err)
 	}
 	reply := x.dialect.Reply(resp)
+	x.mu.Lock()
+	if !reply.OtherUpstream {
+		x.fleet.Proved(u.ID, x.clock.Now())
+	}
 	if l := reply.Load; l.Known {
-		x.mu.Lock()
 		x.calls.Report(u.ID, l.Running+l.Waiting, l.Slowness, x.clock.Now())
-		x.mu.Unlock()
 	}
+	x.mu.Unlock()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if reply.NotRun {
 		x.mayHaveRun = before
--- a/router/direct/edge.go
+++ b/router/direct/edge.go
@@ -32,7 +32,9 @@
 	end time.Time
 	// mayHaveRun is set once an upstream may have begun to work on the request.
 	mayHaveRun bool
-	attempts   int
+	// attempts counts the sendings, refusals those that an upstream said it did not run.
+	attempts int
+	refusals int
 	// started is set once the caller has been sent a response header.
 	started bool
 }
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -68,7 +68,7 @@
 	s := &stream{
 		exchange: x, model: x.engineModel(), last: x.req.LastEvent, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
 		lostIn: map[ids.FailureDomain]bool{}, failedAt: map[ids.VM]bool{},
-		need:   placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput},
+		need: placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput},
 	}
 	for {
 		err := s.try()
@@ -109,11 +109,15 @@
 	if s.mayHaveRun && !s.route.Repeatable() {
 		return fault.Wrap(fault.CallOutcomeUnknown, err, "sent once")
 	}
-	if s.attempts >= max(s.route.MaxAttempts, notRunAttempts) {
-		return fault.Wrap(fault.ResumeExhausted, err, "after %d attempts", s.attempts)
+	exhausted := fault.ResumeExhausted
+	if !s.mayHaveRun {
+		exhausted = fault.QueueFull
+	}
+	if s.refusals >= notRunAttempts || s.attempts-s.refusals >= s.route.MaxAttempts {
+		return fault.Wrap(exhausted, err, "after %d attempts", s.attempts)
 	}
 	if s.attempts > 0 && !s.takeRepeat(s.service.Name) {
-		return fault.Wrap(fault.ResumeExhausted, err, "no repeat is allowed now")
+		return fault.Wrap(exhausted, err, "no repeat is allowed now")
 	}
 	return nil
 }
@@ -163,6 +167,9 @@
 	}
 	conn.Close()
 	s.afterRun(r, err)
+	if errors.Is(err, errNotRun) || errors.Is(err, errMoved) {
+		s.refusals++
+	}
 	if s.delivered > before {
 		// An upstream makes copies once it has read the prompt.
 		s.copied = c.copy()
@@ -420,6 +427,7 @@
 	taken := now.Sub(r.began)
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
+	s.fleet.Proved(r.at.ID, now)
 	r.ticket.Read()
 	s.nudge()
 	if r.from.None() {
