--- a/agent/app/app.go
+++ b/agent/app/app.go
@@ -26,10 +26,10 @@
 	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/inforce"
 	"bilberrylug.dev/core/journal"
+	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/link"
 	"bilberrylug.dev/core/membership"
 	"bilberrylug.dev/core/metric"
-	"bilberrylug.dev/core/platform"
 )
 
 const (
@@ -67,10 +67,10 @@
 	a := &App{cfg: cfg, clock: clock, log: log, metrics: metric.New(), group: group.New(context.Background()), dialer: dialer}
 	config := inforce.New(true)
 	a.state = router.NewState(self(cfg, clock), config, clock)
-	calls := platform.NewCalls(cfg.Platform.ReadsPerSecond, cfg.Platform.WritesPerSecond, func(kind string) {
+	calls := kv.NewCalls(cfg.Platform.ReadsPerSecond, cfg.Platform.WritesPerSecond, func(kind string) {
 		a.metrics.Counter("platform_calls", "kind", kind).Inc(1)
 	})
-	store := platform.New(platform.Options{Address: cfg.Platform.Address, Calls: calls})
+	store := kv.New(kv.Options{Address: cfg.Platform.Address, Calls: calls})
 	limits := journal.Limits{MaxBytes: cfg.journalBytes(), Idle: journalIdle, RetentionFinished: journalRetention}
 	a.journals = router.NewJournals(limits, clock, a.metrics)
 	a.health = upstream.New(cfg.Upstream+"/healthz", clock, log)
--- a/agent/router/order.go
+++ b/agent/router/order.go
@@ -10,20 +10,20 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/fence"
 	"bilberrylug.dev/core/ids"
-	"bilberrylug.dev/core/platform"
+	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/wire"
 )
 
 // orderGate serializes the orders to one upstream. An agent that has just started first learns the number of the
 // current lease, since an older holder may be the first to reach it.
 type orderGate struct {
-	store platform.Store
+	store kv.Store
 
 	mu   sync.Mutex
 	gate *fence.Gate
 }
 
-func newOrderGate(store platform.Store) *orderGate {
+func newOrderGate(store kv.Store) *orderGate {
 	return &orderGate{store: store, gate: fence.New()}
 }
 
@@ -31,7 +31,7 @@
 func (g *orderGate) admit(ctx context.Context, f ids.Fence) (done func(), err error) {
 	g.mu.Lock()
 	if !g.gate.Learned() {
-		v, err := g.store.Get(ctx, platform.OrderLeaseKey)
+		v, err := g.store.Get(ctx, kv.OrderLeaseKey)
 		if err != nil {
 			g.mu.Unlock()
 			return nil, fault.Wrap(fault.FenceUnknown, err, "reading the order lease")
--- a/agent/router/server.go
+++ b/agent/router/server.go
@@ -17,8 +17,8 @@
 	"bilberrylug.dev/core/book"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/metric"
-	"bilberrylug.dev/core/platform"
 	"bilberrylug.dev/core/wire"
 )
 
@@ -30,7 +30,7 @@
 	Plain    *plain.Client
 	Health   *upstream.Health
 	Book     *book.Book
-	Store    platform.Store
+	Store    kv.Store
 	Journals *Journals
 	Clock    clockwork.Clock
 	Log      *event.Log
--- a/agent/router/server_test.go
+++ b/agent/router/server_test.go
@@ -25,10 +25,10 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/kv"
+	"bilberrylug.dev/core/kv/kvtest"
 	"bilberrylug.dev/core/membership"
 	"bilberrylug.dev/core/metric"
-	"bilberrylug.dev/core/platform"
-	"bilberrylug.dev/core/platform/platformtest"
 	"bilberrylug.dev/core/wire"
 )
 
@@ -62,7 +62,7 @@
 
 var _ = Describe("an agent", func() {
 	var (
-		store *platformtest.Store
+		store *kvtest.Store
 		clock *clockwork.FakeClock
 		back  *backend
 		s     *router.Server
@@ -71,7 +71,7 @@
 	)
 	BeforeEach(func() {
 		ctx = GinkgoTB().Context()
-		store, clock, back = platformtest.New(), clockwork.NewFakeClock(), &backend{}
+		store, clock, back = kvtest.New(), clockwork.NewFakeClock(), &backend{}
 		server := httptest.NewServer(back)
 		DeferCleanup(server.Close)
 		g := group.New(ctx)
@@ -110,8 +110,8 @@
 		store.SetOutage(true)
 		Expect(order(99)).To(Equal(fault.FenceUnknown))
 		store.SetOutage(false)
-		_, _, _ = store.Acquire(ctx, platform.OrderLeaseKey, nil, "old holder")
-		current, _, _ := store.Acquire(ctx, platform.OrderLeaseKey, nil, "new holder")
+		_, _, _ = store.Acquire(ctx, kv.OrderLeaseKey, nil, "old holder")
+		current, _, _ := store.Acquire(ctx, kv.OrderLeaseKey, nil, "new holder")
 		Expect(order(current.Index - 1)).To(Equal(fault.StaleFence))
 		Expect(order(current.Index)).To(BeEmpty())
 		Expect(order(current.Index + 1)).To(BeEmpty())
--- a/bench/e2e/calls_test.go
+++ b/bench/e2e/calls_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/gomega"
 
 	"bilberrylug.dev/bench/caller"
+	"bilberrylug.dev/standin/kv"
 	"bilberrylug.dev/standin/plain"
-	"bilberrylug.dev/standin/platform"
 )
 
 var _ = Describe("slips", func() {
@@ -81,9 +81,9 @@
 	},
 		Entry("an agent killed", func() { s.processes["desk-0"].kill() }, func() {}),
 		Entry("an agent paused that returns after others took over", func() { s.processes["desk-0"].signal(syscall.SIGSTOP) }, func() { s.processes["desk-0"].signal(syscall.SIGCONT); time.Sleep(time.Second) }),
-		Entry("lost answers of the ledger's writes", func() { s.put("platform", "/standin/faults", platform.Faults{LoseAnswers: 6}) }, func() {}),
-		Entry("an outage of the platform's service", func() { s.put("platform", "/standin/faults", platform.Faults{Outage: true}) }, func() { s.put("platform", "/standin/faults", platform.Faults{}) }),
-		Entry("a slow platform's service", func() { s.put("platform", "/standin/faults", platform.Faults{SlowMS: 300}) }, func() { s.put("platform", "/standin/faults", platform.Faults{}) }),
+		Entry("lost answers of the ledger's writes", func() { s.put("platform", "/standin/faults", kv.Faults{LoseAnswers: 6}) }, func() {}),
+		Entry("an outage of the platform's service", func() { s.put("platform", "/standin/faults", kv.Faults{Outage: true}) }, func() { s.put("platform", "/standin/faults", kv.Faults{}) }),
+		Entry("a slow platform's service", func() { s.put("platform", "/standin/faults", kv.Faults{SlowMS: 300}) }, func() { s.put("platform", "/standin/faults", kv.Faults{}) }),
 		Entry("a service that loses its replies", func() {
 			for i := range 3 {
 				s.put(fmt.Sprintf("service-%d", i), "/standin/faults", plain.Faults{LoseReplies: 3})
@@ -91,7 +91,7 @@
 		}, func() {}),
 		Entry("a service killed", func() { s.processes["service-0"].signal(syscall.SIGSTOP) }, func() { s.processes["service-0"].signal(syscall.SIGCONT) }),
 		Entry("an agent killed and lost answers together", func() {
-			s.put("platform", "/standin/faults", platform.Faults{LoseAnswers: 6})
+			s.put("platform", "/standin/faults", kv.Faults{LoseAnswers: 6})
 			s.processes["desk-1"].kill()
 		}, func() {}),
 		Entry("a router killed", func() { s.processes["entry-1"].kill() }, func() { s.routers[1] = s.routers[0] }),
--- a/bench/e2e/operators_test.go
+++ b/bench/e2e/operators_test.go
@@ -13,7 +13,7 @@
 
 	"bilberrylug.dev/bench/caller"
 	"bilberrylug.dev/core/declared"
-	"bilberrylug.dev/standin/platform"
+	"bilberrylug.dev/standin/kv"
 )
 
 // noNewWork is the target's time after which a leaving upstream gets no new work.
@@ -62,7 +62,7 @@
 	})
 
 	It("is accepted once when the answer of the write is lost, and changes nothing when the file is broken", func() {
-		s.put("platform", "/standin/faults", platform.Faults{LoseAnswers: 1})
+		s.put("platform", "/standin/faults", kv.Faults{LoseAnswers: 1})
 		s.apply(s.config("1"))
 		Eventually(revisions, patience, "50ms").Should(Equal([]int{2, 2, 2}))
 		_, code := s.ctl("apply", s.write("services: [{name: x, kind: none}]\n"))
@@ -73,7 +73,7 @@
 
 	It("stays in force over an outage, during which a new process learns it from its peers, and never reverts", func() {
 		s.apply(s.config("1"))
-		s.put("platform", "/standin/faults", platform.Faults{Outage: true})
+		s.put("platform", "/standin/faults", kv.Faults{Outage: true})
 		s.processes["entry-2"].kill()
 		s.processes["model-2"].kill()
 		s.restart("entry-2", "router")
@@ -85,7 +85,7 @@
 			return s.client("growers", 2).Stream(ctx, caller.Request{ID: fmt.Sprint(time.Now().UnixNano()), Model: model, Version: "1", Prompt: "p", MaxTokens: 20}).Whole()
 		}, patience, "200ms").Should(BeTrue())
 		s.processes["entry-1"].signal(syscall.SIGSTOP)
-		s.put("platform", "/standin/faults", platform.Faults{})
+		s.put("platform", "/standin/faults", kv.Faults{})
 		out, code := s.ctl("apply", s.write(s.config("1")))
 		Expect(code).To(BeZero(), out)
 		time.Sleep(time.Second)
--- a/core/book/book.go
+++ b/core/book/book.go
@@ -20,13 +20,13 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/ledger"
-	"bilberrylug.dev/core/platform"
 )
 
 // Book writes the buckets. It is safe for concurrent use.
 type Book struct {
-	store platform.Store
+	store kv.Store
 	clock clockwork.Clock
 	log   *event.Log
 	group *group.Group
@@ -36,7 +36,7 @@
 }
 
 // New returns a book.
-func New(store platform.Store, clock clockwork.Clock, log *event.Log, g *group.Group) *Book {
+func New(store kv.Store, clock clockwork.Clock, log *event.Log, g *group.Group) *Book {
 	return &Book{store: store, clock: clock, log: log, group: g, writers: make(map[string]*writer)}
 }
 
--- a/core/book/book_test.go
+++ b/core/book/book_test.go
@@ -17,8 +17,8 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/kv/kvtest"
 	"bilberrylug.dev/core/ledger"
-	"bilberrylug.dev/core/platform/platformtest"
 )
 
 var limits = ledger.Limits{MaxEntries: 1000, Retention: time.Hour}
@@ -27,12 +27,12 @@
 
 var _ = Describe("books of several processes on one bucket", func() {
 	var (
-		store *platformtest.Store
+		store *kvtest.Store
 		g     *group.Group
 		ctx   context.Context
 	)
 	BeforeEach(func() {
-		store = platformtest.New()
+		store = kvtest.New()
 		ctx = GinkgoTB().Context()
 		g = group.New(ctx)
 		DeferCleanup(g.Stop)
--- a/core/book/writer.go
+++ b/core/book/writer.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/ledger"
-	"bilberrylug.dev/core/platform"
 )
 
 // retryPause is the time between two tries while the platform's service does not answer.
@@ -172,7 +172,7 @@
 }
 
 // adopt keeps a state that the service has shown.
-func (w *writer) adopt(v platform.Value) error {
+func (w *writer) adopt(v kv.Value) error {
 	b, err := ledger.Decode(v.Body)
 	if err != nil {
 		return err
--- a/core/platform/keys.go
+++ b/core/kv/keys.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 // Keys in the platform's service.
 const (
--- a/core/platform/platformtest/store.go
+++ b/core/kv/kvtest/store.go
@@ -1,10 +1,10 @@
-// Package platformtest has a small in-memory store for tests, with the faults of the platform's service.
+// Package kvtest has a small in-memory store for tests, with the faults of the platform's service.
 //
 // # Usage
 //
-//	s := platformtest.New()
+//	s := kvtest.New()
 //	s.LoseAnswers(1)
-package platformtest
+package kvtest
 
 import (
 	"context"
@@ -14,16 +14,16 @@
 	"time"
 
 	"bilberrylug.dev/core/fault"
-	"bilberrylug.dev/core/platform"
+	"bilberrylug.dev/core/kv"
 )
 
 var errFault = errors.New("injected")
 
-// Store implements platform.Store in memory. It is safe for concurrent use.
+// Store implements kv.Store in memory. It is safe for concurrent use.
 type Store struct {
 	mu          sync.Mutex
 	index       uint64
-	values      map[string]platform.Value
+	values      map[string]kv.Value
 	outage      bool
 	loseAnswers int
 	beforeSwap  func(key string)
@@ -31,10 +31,10 @@
 	reads       int
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ kv.Store = (*Store)(nil)
 
 // New returns an empty store.
-func New() *Store { return &Store{values: make(map[string]platform.Value)} }
+func New() *Store { return &Store{values: make(map[string]kv.Value)} }
 
 // SetOutage makes every call fail without effect.
 func (s *Store) SetOutage(on bool) {
@@ -66,26 +66,26 @@
 
 func down() error { return fault.Wrap(fault.StoreUnavailable, errFault, "test") }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, key string) (platform.Value, error) {
+// Get implements kv.Store.
+func (s *Store) Get(_ context.Context, key string) (kv.Value, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.outage {
-		return platform.Value{}, down()
+		return kv.Value{}, down()
 	}
 	v := s.values[key]
 	v.Body = slices.Clone(v.Body)
 	return v, nil
 }
 
-// Watch implements platform.Store; it does not wait.
-func (s *Store) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Value, error) {
+// Watch implements kv.Store; it does not wait.
+func (s *Store) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (kv.Value, error) {
 	return s.Get(ctx, key)
 }
 
-// CompareAndSwap implements platform.Store.
-func (s *Store) CompareAndSwap(_ context.Context, key string, body []byte, index uint64) (platform.Value, bool, error) {
+// CompareAndSwap implements kv.Store.
+func (s *Store) CompareAndSwap(_ context.Context, key string, body []byte, index uint64) (kv.Value, bool, error) {
 	s.mu.Lock()
 	hook := s.beforeSwap
 	s.mu.Unlock()
@@ -96,43 +96,43 @@
 	defer s.mu.Unlock()
 	s.writes++
 	if s.outage {
-		return platform.Value{}, false, down()
+		return kv.Value{}, false, down()
 	}
 	old := s.values[key]
 	swapped := old.Index == index
 	if swapped {
 		s.index++
-		s.values[key] = platform.Value{Body: slices.Clone(body), Index: s.index}
+		s.values[key] = kv.Value{Body: slices.Clone(body), Index: s.index}
 	}
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
-		return platform.Value{}, false, down()
+		return kv.Value{}, false, down()
 	}
 	if !swapped {
 		return old, false, nil
 	}
-	return platform.Value{Index: s.index}, true, nil
+	return kv.Value{Index: s.index}, true, nil
 }
 
-// OpenSession implements platform.Store.
-func (s *Store) OpenSession(context.Context, time.Duration) (platform.Session, error) {
+// OpenSession implements kv.Store.
+func (s *Store) OpenSession(context.Context, time.Duration) (kv.Session, error) {
 	return "session", nil
 }
 
-// RenewSession implements platform.Store.
-func (s *Store) RenewSession(context.Context, platform.Session) (bool, error) { return true, nil }
+// RenewSession implements kv.Store.
+func (s *Store) RenewSession(context.Context, kv.Session) (bool, error) { return true, nil }
 
-// Acquire implements platform.Store; every caller gets the key.
-func (s *Store) Acquire(_ context.Context, key string, body []byte, session platform.Session) (platform.Value, bool, error) {
+// Acquire implements kv.Store; every caller gets the key.
+func (s *Store) Acquire(_ context.Context, key string, body []byte, session kv.Session) (kv.Value, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.index++
-	v := platform.Value{Body: body, Index: s.index, Session: string(session)}
+	v := kv.Value{Body: body, Index: s.index, Session: string(session)}
 	s.values[key] = v
 	return v, true, nil
 }
 
-// VMs implements platform.Store with an empty list.
-func (s *Store) VMs(context.Context, uint64, time.Duration) (platform.VMList, error) {
-	return platform.VMList{}, nil
+// VMs implements kv.Store with an empty list.
+func (s *Store) VMs(context.Context, uint64, time.Duration) (kv.VMList, error) {
+	return kv.VMList{}, nil
 }
--- a/core/platform/value.go
+++ b/core/kv/value.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 // Value is a key's content with the index of its last change. Index zero means that the key does not exist.
 type Value struct {
--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -24,8 +24,8 @@
 
 	"bilberrylug.dev/core/declared"
 	"bilberrylug.dev/core/fault"
-	store "bilberrylug.dev/core/platform"
-	"bilberrylug.dev/ctl/platform"
+	store "bilberrylug.dev/core/kv"
+	"bilberrylug.dev/ctl/kv"
 )
 
 // Exit codes of the commands.
@@ -110,9 +110,9 @@
 	}
 }
 
-func (t *Tool) applier(c *cli.Command) *platform.Applier {
+func (t *Tool) applier(c *cli.Command) *kv.Applier {
 	calls := store.NewCalls(readsPerSecond, writesPerSecond, nil)
-	return platform.New(store.New(store.Options{Address: c.String("platform"), Calls: calls}), t.clock, newApplyID)
+	return kv.New(store.New(store.Options{Address: c.String("platform"), Calls: calls}), t.clock, newApplyID)
 }
 
 func newApplyID() string {
--- a/ctl/platform/applier.go
+++ b/ctl/kv/applier.go
@@ -1,11 +1,11 @@
-// Package platform accepts configurations in the platform's service.
+// Package kv accepts configurations in the platform's service.
 //
 // # Usage
 //
-//	a := platform.New(store, clock, newID)
+//	a := kv.New(store, clock, newID)
 //	current, err := a.Current(ctx)
 //	head, err := a.Apply(ctx, current, cfg, "operator")
-package platform
+package kv
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 
 	"bilberrylug.dev/core/declared"
 	"bilberrylug.dev/core/fault"
-	"bilberrylug.dev/core/platform"
+	"bilberrylug.dev/core/kv"
 )
 
 const (
@@ -28,13 +28,13 @@
 
 // Applier reads and accepts configurations.
 type Applier struct {
-	store platform.Store
+	store kv.Store
 	clock clockwork.Clock
 	newID func() string
 }
 
 // New returns an applier.
-func New(store platform.Store, clock clockwork.Clock, newID func() string) *Applier {
+func New(store kv.Store, clock clockwork.Clock, newID func() string) *Applier {
 	return &Applier{store, clock, newID}
 }
 
@@ -47,7 +47,7 @@
 
 // Head reads the accepted head; before the first apply its revision is zero.
 func (a *Applier) Head(ctx context.Context) (Current, error) {
-	v, err := a.store.Get(ctx, platform.HeadKey)
+	v, err := a.store.Get(ctx, kv.HeadKey)
 	if err != nil {
 		return Current{}, err
 	}
@@ -69,7 +69,7 @@
 	}
 	bodies := make(map[string][]byte)
 	for _, hash := range c.Head.Hashes(false) {
-		v, err := a.store.Get(ctx, platform.ChunkPrefix+hash)
+		v, err := a.store.Get(ctx, kv.ChunkPrefix+hash)
 		if err != nil {
 			return c, err
 		}
@@ -120,7 +120,7 @@
 func (a *Applier) writeChunk(ctx context.Context, hash string, body []byte) error {
 	var err error
 	for range applyTries {
-		if _, _, err = a.store.CompareAndSwap(ctx, platform.ChunkPrefix+hash, body, 0); err == nil {
+		if _, _, err = a.store.CompareAndSwap(ctx, kv.ChunkPrefix+hash, body, 0); err == nil {
 			return nil
 		}
 		a.clock.Sleep(retryPause)
@@ -135,7 +135,7 @@
 		return fault.Wrap(fault.ConfigInvalid, err, "encoding the head")
 	}
 	for range applyTries {
-		_, swapped, err := a.store.CompareAndSwap(ctx, platform.HeadKey, body, index)
+		_, swapped, err := a.store.CompareAndSwap(ctx, kv.HeadKey, body, index)
 		if err == nil && swapped {
 			return nil
 		}
--- a/router/app/app.go
+++ b/router/app/app.go
@@ -25,16 +25,16 @@
 	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/link"
 	"bilberrylug.dev/core/membership"
 	"bilberrylug.dev/core/metric"
-	"bilberrylug.dev/core/platform"
 	"bilberrylug.dev/router/agent"
 	"bilberrylug.dev/router/answer"
 	"bilberrylug.dev/router/caller"
+	watch "bilberrylug.dev/router/kv"
 	"bilberrylug.dev/router/orders"
 	"bilberrylug.dev/router/peer"
-	watch "bilberrylug.dev/router/platform"
 	"bilberrylug.dev/router/view"
 )
 
@@ -88,14 +88,14 @@
 		},
 		Config: a.config, Clock: clock, Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), epoch)),
 	})
-	calls := platform.NewCalls(cfg.Platform.ReadsPerSecond, cfg.Platform.WritesPerSecond, func(kind string) {
+	calls := kv.NewCalls(cfg.Platform.ReadsPerSecond, cfg.Platform.WritesPerSecond, func(kind string) {
 		a.metrics.Counter("platform_calls", "kind", kind).Inc(1)
 	})
-	a.build(platform.New(platform.Options{Address: cfg.Platform.Address, Calls: calls}), epoch)
+	a.build(kv.New(kv.Options{Address: cfg.Platform.Address, Calls: calls}), epoch)
 	return a, nil
 }
 
-func (a *App) build(store platform.Store, epoch uint64) {
+func (a *App) build(store kv.Store, epoch uint64) {
 	a.grants = peer.NewGrants(a.view, a.config, a.dialer, a.clock)
 	o := peer.Options{
 		View: a.view, Config: a.config, Dialer: a.dialer, Seeds: a.cfg.Routers, Grants: a.grants, Clock: a.clock, Log: a.log,
--- a/router/platform/watch.go
+++ b/router/kv/watch.go
@@ -1,14 +1,14 @@
-// Package platform follows the configuration and the list of VMs in the platform's service.
+// Package kv follows the configuration and the list of VMs in the platform's service.
 //
 // A few routers watch; the others learn from them by exchange, and read only now and then, so that the calls do not
 // grow with the fleet.
 //
 // # Usage
 //
-//	w := platform.New(platform.Options{...})
+//	w := kv.New(kv.Options{...})
 //	group.Go(w.RunConfig)
 //	group.Go(w.RunVMs)
-package platform
+package kv
 
 import (
 	"context"
@@ -23,8 +23,8 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/membership"
-	"bilberrylug.dev/core/platform"
 	"bilberrylug.dev/core/rendezvous"
 	"bilberrylug.dev/router/view"
 )
@@ -44,7 +44,7 @@
 
 // Options are the dependencies of a watch.
 type Options struct {
-	Store  platform.Store
+	Store  kv.Store
 	View   *view.View
 	Config *inforce.Holder
 	Clock  clockwork.Clock
@@ -80,7 +80,7 @@
 // RunConfig follows the head of the configuration until the context ends.
 func (w *Watch) RunConfig(ctx context.Context) {
 	w.follow(ctx, func(ctx context.Context, wait time.Duration) error {
-		v, err := w.Store.Watch(ctx, platform.HeadKey, w.headIndex, wait)
+		v, err := w.Store.Watch(ctx, kv.HeadKey, w.headIndex, wait)
 		if err != nil {
 			return err
 		}
@@ -135,14 +135,14 @@
 
 // Read reads the head once and puts it in force; it is used when an agent knows a newer revision.
 func (w *Watch) Read(ctx context.Context) error {
-	v, err := w.Store.Get(ctx, platform.HeadKey)
+	v, err := w.Store.Get(ctx, kv.HeadKey)
 	if err != nil {
 		return err
 	}
 	return w.takeHead(ctx, v)
 }
 
-func (w *Watch) takeHead(ctx context.Context, v platform.Value) error {
+func (w *Watch) takeHead(ctx context.Context, v kv.Value) error {
 	if len(v.Body) == 0 {
 		return nil
 	}
@@ -156,7 +156,7 @@
 	}
 	bodies := make(map[string][]byte)
 	for _, hash := range w.Config.Missing(head) {
-		chunk, err := w.Store.Get(ctx, platform.ChunkPrefix+hash)
+		chunk, err := w.Store.Get(ctx, kv.ChunkPrefix+hash)
 		if err != nil {
 			return fmt.Errorf("chunk %s: %w", hash, err)
 		}
@@ -174,11 +174,11 @@
 }
 
 // takeVMs marks the VMs that the platform has as leaving. A VM that is missing proves nothing, since the list lags.
-func (w *Watch) takeVMs(l platform.VMList) {
+func (w *Watch) takeVMs(l kv.VMList) {
 	changed := false
 	w.View.Update(func(t *membership.Table) {
 		for _, vm := range l.VMs {
-			if vm.State == platform.VMLeaving && t.Mark(w.Clock.Now(), vm.ID, membership.Leaving) {
+			if vm.State == kv.VMLeaving && t.Mark(w.Clock.Now(), vm.ID, membership.Leaving) {
 				changed = true
 			}
 		}
--- a/router/orders/giver.go
+++ b/router/orders/giver.go
@@ -22,8 +22,8 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/inforce"
+	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/membership"
-	"bilberrylug.dev/core/platform"
 	"bilberrylug.dev/core/rendezvous"
 	"bilberrylug.dev/core/wire"
 	"bilberrylug.dev/router/agent"
@@ -40,7 +40,7 @@
 
 // Options are the dependencies of a giver.
 type Options struct {
-	Store  platform.Store
+	Store  kv.Store
 	View   *view.View
 	Config *inforce.Holder
 	Links  *agent.Links
@@ -55,7 +55,7 @@
 	Options
 
 	loads   *rate.Limiter
-	session platform.Session
+	session kv.Session
 	fence   ids.Fence
 	heldTo  time.Time
 }
@@ -110,7 +110,7 @@
 		}
 		g.session = session
 	}
-	v, acquired, err := g.Store.Acquire(ctx, platform.OrderLeaseKey, []byte(g.View.Self().VM), g.session)
+	v, acquired, err := g.Store.Acquire(ctx, kv.OrderLeaseKey, []byte(g.View.Self().VM), g.session)
 	if err != nil {
 		return
 	}
--- a/standin/platform/faults.go
+++ b/standin/kv/faults.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 // Faults are the switches of the stand-in.
 type Faults struct {
--- a/standin/platform/server.go
+++ b/standin/kv/server.go
@@ -1,10 +1,10 @@
-// Package platform is a stand-in for the platform's key-value service and list of VMs.
+// Package kv is a stand-in for the platform's key-value service and list of VMs.
 //
 // # Usage
 //
-//	s := platform.New()
+//	s := kv.New()
 //	err := http.ListenAndServe("127.0.0.1:7070", s.Handler())
-package platform
+package kv
 
 import (
 	"net/http"
--- a/standin/main.go
+++ b/standin/main.go
@@ -18,8 +18,8 @@
 	"github.com/urfave/cli/v3"
 
 	"bilberrylug.dev/standin/engine"
+	"bilberrylug.dev/standin/kv"
 	"bilberrylug.dev/standin/plain"
-	"bilberrylug.dev/standin/platform"
 )
 
 func main() {
@@ -28,7 +28,7 @@
 		Usage: "run a stand-in for a system around bilberrylug",
 		Commands: []*cli.Command{
 			command("platform", "the platform's key-value service and list of VMs", nil, func(*cli.Command) http.Handler {
-				return platform.New().Handler()
+				return kv.New().Handler()
 			}),
 			command("engine", "a model engine", engineFlags(), newEngine),
 			command("plain", "a plain service", nil, func(*cli.Command) http.Handler { return plain.New().Handler() }),
