Copies go to doubtful engines when there are no others; a new start is found while the store is away

The test of copies is as strict where another engine is left. Two routers were killed at the end of their stop: its margin is longer, and closing is bounded.

--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -24,6 +24,11 @@
 	// doubtTime is how long another router's word on a loss counts: the upstream registers its next start by then, or the
 	// other router has found it again.
 	doubtTime = time.Second
+	// adoptMargin covers the way of the last answer and of the probe.
+	adoptMargin = 200 * time.Millisecond
+	// awayProbePause is the least time between the probes of one upstream while the store is away: its next start is found
+	// by them alone.
+	awayProbePause = 200 * time.Millisecond
 	// probePause is the least time between the probes of an upstream that is out of use.
 	probePause = time.Second
 )
@@ -205,9 +210,36 @@
 	return last
 }
 
+// Adopt takes the name that an upstream's address now answers to, when it cannot have gone to another service yet: addresses
+// are used again only a while after their upstream has ended, and it has answered since. It returns whether that holds.
+func (d *Directory) Adopt(old, name ids.VM, now time.Time, reuse time.Duration) bool {
+	u, known := d.upstreams[old]
+	if !known || name == "" || name == old || now.Sub(u.provedAt) > reuse-adoptMargin {
+		return false
+	}
+	return d.Rename(old, name, now)
+}
+
+// Rename takes another router's word on the name that an upstream's address answers to.
+func (d *Directory) Rename(old, name ids.VM, now time.Time) bool {
+	u, known := d.upstreams[old]
+	if _, taken := d.upstreams[name]; !known || taken || u.Draining {
+		return false
+	}
+	e := u.Entry
+	e.ID = name
+	e.Started = 0
+	delete(d.upstreams, old)
+	d.upstreams[name] = &Upstream{Entry: e, provedAt: now}
+	return true
+}
+
+// Away tells whether the store answers nobody, so that new starts are not registered.
+func (d *Directory) Away() bool { return d.storeDown }
+
 // Proved notes that an upstream has answered a request.
 func (d *Directory) Proved(id ids.VM, now time.Time) {
-	if u, known := d.upstreams[id]; known {
+	if u, known := d.upstreams[id]; known && now.After(u.provedAt) {
 		u.provedAt = now
 	}
 }
@@ -237,8 +269,12 @@
 // ToProbe returns the upstream that has been out of use longest without a probe, and notes the probe.
 func (d *Directory) ToProbe(now time.Time) (Upstream, bool) {
 	var next *Upstream
+	pause := probePause
+	if d.storeDown {
+		pause = awayProbePause
+	}
 	for _, u := range d.upstreams {
-		if u.lostAt.IsZero() || now.Sub(u.probedAt) < probePause {
+		if u.lostAt.IsZero() || now.Sub(u.probedAt) < pause {
 			continue
 		}
 		if next == nil || u.probedAt.Before(next.probedAt) {
@@ -257,6 +293,9 @@
 	return d.list(func(u *Upstream) bool { return !u.lostAt.IsZero() })
 }
 
+// ProvedAt returns when the upstream last answered a request.
+func (u Upstream) ProvedAt() time.Time { return u.provedAt }
+
 // LostAt returns when the upstream was last found unreachable.
 func (u Upstream) LostAt() time.Time { return u.lostAt }
 
--- a/core/fleet/directory_test.go
+++ b/core/fleet/directory_test.go
@@ -114,6 +114,21 @@
 		d.StoreReached(true, later)
 		Expect(doubtful("2")).To(BeFalse())
 	})
+	It("adopts the new name of an upstream only while its address cannot have gone to another service", func() {
+		d := served(fleet.New(2 * time.Second))
+		d.Put(entry("0", 1))
+		d.Put(entry("1", 1))
+		d.Proved("0", start)
+		Expect(d.Adopt("0", "7", start.Add(2*time.Second), 2*time.Second)).To(BeFalse())
+		Expect(d.Adopt("1", "8", start, 2*time.Second)).To(BeFalse(), "it has not answered")
+		d.Lost("0", 1, start.Add(100*time.Millisecond))
+		Expect(d.Adopt("0", "7", start.Add(1500*time.Millisecond), 2*time.Second)).To(BeTrue())
+		Expect(usable(d)).To(Equal([]ids.VM{"1", "7"}))
+		registered := entry("7", 3)
+		registered.Address = entry("0", 1).Address
+		d.Put(registered)
+		Expect(usable(d)).To(Equal([]ids.VM{"1", "7"}))
+	})
 	It("offers lost upstreams as a last resort, and never draining ones", func() {
 		d := served(fleet.New(2 * time.Second))
 		d.Put(entry("0", 1))
--- a/core/placing/pick.go
+++ b/core/placing/pick.go
@@ -71,13 +71,14 @@
 	return placed{cost: cost, first: first}
 }
 
-// PickCopy returns the engine that keeps the copy of a generation's memory: one of another failure domain with room.
+// PickCopy returns the engine that keeps the copy of a generation's memory: one of another failure domain with room, and
+// one that seems to be lost only when there is no other.
 func (p Picker) PickCopy(list []Candidate, at Candidate, n Need, m Model, now time.Time) (Candidate, bool) {
 	var best Candidate
 	bestMemory := 0
 	found := false
 	for _, c := range list {
-		if c.Domain == at.Domain || c.Suspect {
+		if c.Domain == at.Domain {
 			continue
 		}
 		w := p.At(c.ID, now)
@@ -85,6 +86,9 @@
 			continue
 		}
 		memory := w.Memory + w.Running*n.Tokens() + int(p.bias(c)/spread)
+		if c.Suspect {
+			memory += m.MemoryTokens * (1 + m.Slots)
+		}
 		if !found || memory < bestMemory {
 			best, bestMemory, found = c, memory, true
 		}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -78,6 +78,8 @@
 	NotRun bool
 	// OtherUpstream tells that another upstream than the addressed one lives at the address.
 	OtherUpstream bool
+	// Upstream is the one that answered, as it names itself; empty when it does not.
+	Upstream ids.VM
 	// Signed tells that the response is the upstream's own product for this request.
 	Signed bool
 	Load   Load
--- a/core/routing/config.go
+++ b/core/routing/config.go
@@ -85,6 +85,8 @@
 type Service struct {
 	Name   ids.Service
 	Engine *Engine
+	// HealthPath answers whether an upstream is well, and which one it is.
+	HealthPath string
 	// MaxConns bounds the connections that one upstream accepts from all callers together.
 	MaxConns int
 }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -42,8 +42,12 @@
 	// stopNotice is the time in which the balancer learns of a planned stop: it asks once a second and believes the second
 	// miss.
 	stopNotice = 3 * time.Second
-	// stopMargin is left of the stop's time when the process ends.
-	stopMargin = 300 * time.Millisecond
+	// stopMargin is left of the stop's time for ending the process: for drainTime, entryEnd, and a busy processor.
+	stopMargin = 700 * time.Millisecond
+	// drainTime bounds the closing of callers' connections.
+	drainTime = 150 * time.Millisecond
+	// entryEnd bounds the removal of the router's entry; it lapses otherwise.
+	entryEnd = 100 * time.Millisecond
 	// headerTime and idleTime bound what callers may take where the configuration does not say less.
 	headerTime = 10 * time.Second
 	idleTime   = 60 * time.Second
@@ -88,6 +92,7 @@
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
 	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
 	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop, learnt: make(chan struct{})}
+	a.edge.probes.identify = a.edge.identify
 	a.follower = mirror.NewFollower(mirror.Options{
 		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Answered: w.storeAnswered,
 		Silent: o.ForgetStore, Learned: func() { w.nudge() }, Watch: w.watches,
@@ -194,7 +199,7 @@
 
 // drain closes the callers' connections as they become idle and waits a moment for the others.
 func (a *App) drain(callers *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		a.o.Log.Write(event.Stopping, "cut", a.stop.active.Load(), "error", err.Error())
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -227,7 +227,7 @@
 	if reply.NotRun {
 		x.mayHaveRun = before
 		if reply.OtherUpstream {
-			x.forget(u)
+			x.adopt(u, reply.Upstream)
 			return nil, errMoved
 		}
 		return nil, errNotRun
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -133,7 +133,7 @@
 }
 
 func (c *copier) call(ctx context.Context, to fleet.Upstream) (string, error) {
-	body, err := c.s.control(ctx, c.r.at, c.s.dialect.CopyCall(c.s.req.ID, to.Address))
+	_, body, err := c.s.control(ctx, c.r.at, c.s.dialect.CopyCall(c.s.req.ID, to.Address))
 	if err != nil {
 		return "", err
 	}
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,8 @@
 	entryRenewal = 2 * time.Second
 	// entryTime bounds the calls of one renewal.
 	entryTime = 1500 * time.Millisecond
+	// renamedLife is how long the new name of an upstream is news.
+	renamedLife = time.Second
 	// lostLife is how long the loss of an upstream is news.
 	lostLife = 300 * time.Millisecond
 )
@@ -70,6 +73,10 @@
 	for service, c := range w.budget.Own(now) {
 		n.Counts = append(n.Counts, &wire.Counts{Service: string(service), Requests: uint32(c.Requests), Repeats: uint32(c.Repeats)})
 	}
+	w.renamed = slices.DeleteFunc(w.renamed, func(r renamed) bool { return now.Sub(r.at) > renamedLife })
+	for _, r := range w.renamed {
+		n.Renamed = append(n.Renamed, &wire.RenamedUpstream{Old: string(r.old), Name: string(r.name)})
+	}
 	n.Homes = w.newHomes
 	w.newHomes = nil
 	return n
@@ -103,6 +110,11 @@
 	for _, c := range n.GetCounts() {
 		w.budget.Peer(ids.VM(n.GetSender()), ids.Service(c.GetService()), budget.Counts{Requests: int(c.GetRequests()), Repeats: int(c.GetRepeats())}, now)
 	}
+	for _, r := range n.GetRenamed() {
+		if w.fleet.Rename(ids.VM(r.GetOld()), ids.VM(r.GetName()), now) {
+			w.log.Write(event.UpstreamChanged, "upstream", r.GetName(), "was", r.GetOld(), "told_by", n.GetSender())
+		}
+	}
 	w.mu.Unlock()
 	for _, l := range n.GetLost() {
 		w.doubt(ids.VM(l.GetUpstream()), l.GetStarted())
@@ -156,7 +168,7 @@
 	if lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	ctx, cancel := context.WithTimeout(context.Background(), entryEnd)
 	defer cancel()
 	if err := a.o.Store.Revoke(ctx, lease); err != nil {
 		a.o.Log.Write(event.StoreFailed, "call", "end of this router's lease", "error", err.Error())
--- a/router/direct/probe.go
+++ b/router/direct/probe.go
@@ -27,7 +27,7 @@
 	recentCheck = 100 * time.Millisecond
 	// retryProbe is the pause between the probes of upstreams that are out of use. One at a time is probed, since all routers
 	// do so.
-	retryProbe = 250 * time.Millisecond
+	retryProbe = 50 * time.Millisecond
 )
 
 // prober finds out whether an upstream's VM answers, by opening a connection, which is kept for later requests. An upstream
@@ -38,6 +38,8 @@
 	flight singleflight.Group
 	// checked is when an upstream was last checked aside.
 	checked map[ids.VM]time.Time
+	// identify asks an upstream which one it is.
+	identify func(ctx context.Context, u fleet.Upstream)
 	// usual is the running mean of the connection times.
 	usual time.Duration
 }
@@ -103,14 +105,20 @@
 	})
 }
 
+func (p *prober) away() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet.Away()
+}
+
 // run probes the upstreams that are out of use until the context ends.
 func (p *prober) run(ctx context.Context) {
 	group.Every(ctx, p.clock, retryProbe, func() {
 		p.mu.Lock()
 		u, found := p.fleet.ToProbe(p.clock.Now())
 		p.mu.Unlock()
-		if found {
-			p.alive(u)
+		if found && p.alive(u) && p.away() {
+			p.group.Go(func(ctx context.Context) { p.identify(ctx, u) })
 		}
 	})
 }
--- a/router/direct/prompts.go
+++ b/router/direct/prompts.go
@@ -42,7 +42,7 @@
 }
 
 func (e *edge) learn(ctx context.Context, u fleet.Upstream) {
-	body, err := e.control(ctx, u, e.dialect.PromptsCall())
+	_, body, err := e.control(ctx, u, e.dialect.PromptsCall())
 	if err != nil {
 		e.log.Write(event.PromptsUnknown, "upstream", u.ID, "error", err.Error())
 		return
--- a/router/direct/settings.go
+++ b/router/direct/settings.go
@@ -29,8 +29,10 @@
 	MetricsPort int `yaml:"metrics_port"`
 	// StopSeconds is the time that a planned stop may take.
 	StopSeconds float64 `yaml:"stop_seconds"`
-	Store       Store   `yaml:"store"`
-	Retries     Retries `yaml:"retries"`
+	// AddressReuseSeconds is how long an address stays with its service after its upstream has ended.
+	AddressReuseSeconds float64 `yaml:"address_reuse_seconds"`
+	Store               Store   `yaml:"store"`
+	Retries             Retries `yaml:"retries"`
 	// MemoryMegabytes is what the process may use.
 	MemoryMegabytes  int64 `yaml:"memory_megabytes"`
 	settings.Logging `yaml:",inline"`
@@ -74,6 +76,10 @@
 	return nil
 }
 
+func (s Settings) reuse() time.Duration {
+	return time.Duration(s.AddressReuseSeconds * float64(time.Second))
+}
+
 func (s Settings) metricsAddress() string {
 	return net.JoinHostPort(s.Address, strconv.Itoa(s.MetricsPort))
 }
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -179,6 +179,11 @@
 
 // afterRun draws conclusions from a run that did not end well.
 func (s *stream) afterRun(r *run, err error) {
+	if r.silence.events > 0 {
+		s.world.mu.Lock()
+		s.fleet.Proved(r.at.ID, r.silence.lastEvent)
+		s.world.mu.Unlock()
+	}
 	switch {
 	case s.callerGone():
 	case errors.Is(err, errNotRun), errors.Is(err, errMoved), errors.Is(err, errHung):
@@ -332,7 +337,7 @@
 		conn.Close()
 	}
 	if reply.OtherUpstream {
-		s.forget(r.at)
+		s.adopt(r.at, reply.Upstream)
 		return errMoved
 	}
 	return errNotRun
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -56,6 +56,10 @@
 	// homes remembers where prompts were read; newHomes are those that the others have not been told.
 	homes    *placing.Homes
 	newHomes []*wire.PromptHome
+	// reuse is how long an address stays with its service after its upstream has ended.
+	reuse time.Duration
+	// renamed are the upstreams found under another name.
+	renamed []renamed
 	// routerChanged takes changes of the routers' entries.
 	routerChanged func(c store.Change)
 }
@@ -67,7 +71,7 @@
 		fleet:  fleet.New(returnTime),
 		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Ledger: placing.NewLedger()},
 		calls:  placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
-		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM),
+		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM), reuse: cfg.reuse(),
 	}
 }
 
@@ -253,6 +257,30 @@
 	w.log.Write(event.UpstreamFound, "upstream", u.ID, "lost_for", w.clock.Since(u.LostAt()).String())
 }
 
+// renamed is an upstream that answers under another name at the same address.
+type renamed struct {
+	old, name ids.VM
+	at        time.Time
+}
+
+// adopt takes the name under which an upstream's address answers now, or drops the upstream.
+func (w *world) adopt(u fleet.Upstream, name ids.VM) {
+	now := w.clock.Now()
+	w.mu.Lock()
+	adopted := w.fleet.Away() && w.fleet.Adopt(u.ID, name, now, w.reuse)
+	if adopted {
+		w.renamed = append(w.renamed, renamed{old: u.ID, name: name, at: now})
+	}
+	w.mu.Unlock()
+	if !adopted {
+		w.forget(u)
+		return
+	}
+	w.pool.Drop(u.Address)
+	w.log.Write(event.UpstreamChanged, "upstream", name, "was", u.ID, "last_answer", now.Sub(u.ProvedAt()).String())
+	w.nudge()
+}
+
 // forget drops an upstream whose address answers as another one.
 func (w *world) forget(u fleet.Upstream) {
 	w.mu.Lock()
