--- a/core/process/run.go
+++ b/core/process/run.go
@@ -26,12 +26,15 @@
 	Serve func(ctx context.Context, path string) error
 }
 
-// Hangups returns a channel that reports each SIGHUP, which then no longer ends the process.
-func Hangups() <-chan os.Signal {
+// hangups takes SIGHUP from the program's first moment on, so that it never ends the process.
+var hangups = func() chan os.Signal {
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGHUP)
 	return c
-}
+}()
+
+// Hangups returns a channel that reports each SIGHUP.
+func Hangups() <-chan os.Signal { return hangups }
 
 // With returns a Serve that reads the settings before it serves.
 func With[T settings.Checked](serve func(ctx context.Context, cfg T) error) func(ctx context.Context, path string) error {
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -35,6 +35,8 @@
 const (
 	// memoryShare is the part of the allowed memory that the collector keeps the heap within.
 	memoryShare = 0.5
+	// readyLimit is the time after which a router with a configuration is ready though it knows of no engine.
+	readyLimit = time.Second
 	// expireInterval is the pause between looks for upstreams that are gone.
 	expireInterval = 200 * time.Millisecond
 	// stopPoll is the pause between looks at the running work of a planned stop.
@@ -78,6 +80,7 @@
 	dialer   *link.Dialer
 	group    *group.Group
 	stop     *stopper
+	began    time.Time
 }
 
 // New puts a router together.
@@ -90,7 +93,7 @@
 	g := group.New(context.Background())
 	stop := &stopper{clock: o.Clock, longWork: stopNotice}
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
-	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
+	a := &App{began: o.Clock.Now(), dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
 	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop, learnt: make(chan struct{})}
 	a.edge.probes.identify = a.edge.identify
 	a.follower = mirror.NewFollower(mirror.Options{
@@ -189,7 +192,18 @@
 	a.world.countRouters(len(a.teller.Peers()) + 1)
 }
 
-func (a *App) ready() bool { return !a.stop.stopping() && a.world.config.Load() != nil }
+// ready tells that callers can be served as well as the router will be able to.
+func (a *App) ready() bool {
+	if a.stop.stopping() || a.world.config.Load() == nil {
+		return false
+	}
+	select {
+	case <-a.edge.learnt:
+		return true
+	default:
+		return a.stop.clock.Since(a.began) > readyLimit
+	}
+}
 
 func (a *App) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if !a.ready() {
