--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -30,6 +30,7 @@
 
 var (
 	errNotRun    = errors.New("the upstream has not run it")
+	errShed      = fmt.Errorf("%w: it is full", errNotRun)
 	errMoved     = errors.New("another upstream has the address")
 	errTruncated = errors.New("the answer is not complete")
 	errTooSlow   = errors.New("no answer within the attempt's time")
@@ -46,12 +47,11 @@
 	var failed *answer
 	tried := map[ids.VM]bool{}
 	for {
-		u, ok := x.pickCall(tried)
-		if !ok {
-			x.endCall(failed, fault.New(fault.NoUpstream, "service %s", x.service.Name))
+		a, u, err := x.tryInTurn(tried)
+		if refusal := (*fault.Error)(nil); errors.As(err, &refusal) {
+			x.endCall(failed, refusal)
 			return
 		}
-		a, err := x.tryCall(u, tried)
 		if err == nil && (a.resp.StatusCode < http.StatusInternalServerError || !x.mayRepeat()) {
 			x.pass(a)
 			return
@@ -71,6 +71,22 @@
 	}
 }
 
+// tryInTurn sends the request once, when it is its turn. A fault is the call's final answer.
+func (x *exchange) tryInTurn(tried map[ids.VM]bool) (*answer, fleet.Upstream, error) {
+	if err := x.enterGate(); err != nil {
+		return nil, fleet.Upstream{}, err
+	}
+	began := x.clock.Now()
+	u, ok := x.pickCall(tried)
+	if !ok {
+		x.leaveGate(false, 0)
+		return nil, u, fault.New(fault.NoUpstream, "service %s", x.service.Name)
+	}
+	a, err := x.tryCall(u, tried)
+	x.leaveGate(errors.Is(err, errShed), x.clock.Since(began))
+	return a, u, err
+}
+
 // afterCall decides whether a call that was not answered well is sent again; the fault is its final answer if not.
 func (x *exchange) afterCall(err error) error {
 	if x.left() < hopelessTime {
@@ -230,7 +246,7 @@
 			x.adopt(u, reply.Upstream)
 			return nil, errMoved
 		}
-		return nil, errNotRun
+		return nil, errShed
 	}
 	if err != nil || len(body) > maxAnswerBytes {
 		return nil, cause(ctx, errTruncated)
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -44,6 +44,8 @@
 	fleet  *fleet.Directory
 	picker placing.Picker
 	calls  *placing.Calls
+	// gates bound the calls under way, by service.
+	gates  map[ids.Service]*placing.Gate
 	budget *budget.Budget
 	// routers is the number of routers that share the limits, this one included.
 	routers int
@@ -70,7 +72,7 @@
 		pool:   upstream.NewPool(o.Dial, o.Clock),
 		fleet:  fleet.New(returnTime),
 		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Ledger: placing.NewLedger()},
-		calls:  placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
+		gates:  map[ids.Service]*placing.Gate{}, calls: placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
 		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM), reuse: cfg.reuse(),
 	}
 }
