--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -82,15 +82,15 @@
 	return f.replica.Since(since), f.replica.Revision()
 }
 
-// Merge takes changes that another router has behind this one's revision.
-func (f *Follower) Merge(list []store.Change, upTo store.Revision) {
+// Merge takes the changes between two revisions from another router.
+func (f *Follower) Merge(list []store.Change, since, upTo store.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apply(list, upTo)
+	f.tell(f.replica.Merge(list, since, upTo))
 }
 
-func (f *Follower) apply(list []store.Change, upTo store.Revision) {
-	if news := f.replica.Apply(list, upTo); len(news) > 0 {
+func (f *Follower) tell(news []store.Change) {
+	if len(news) > 0 {
 		f.o.Changed(news)
 	}
 }
@@ -174,7 +174,7 @@
 		}
 		f.o.Answered()
 		f.mu.Lock()
-		f.o.Changed(f.replica.Reset(prefix, items, revision))
+		f.tell(f.replica.Reset(prefix, items, revision))
 		f.mu.Unlock()
 	}
 	f.mu.Lock()
@@ -221,7 +221,7 @@
 	f.o.Answered()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apply(changes.List, changes.Revision)
+	f.tell(f.replica.Apply(changes.List, changes.Revision))
 	if len(changes.List) > 0 {
 		f.o.Learned()
 	}
--- a/core/mirror/replica.go
+++ b/core/mirror/replica.go
@@ -49,6 +49,15 @@
 // Revision returns the store's revision up to which the replica is complete.
 func (r *Replica) Revision() store.Revision { return r.revision }
 
+// Merge takes the changes between two revisions from another replica, and returns those that were news. They complete this
+// replica only if it had reached the first revision.
+func (r *Replica) Merge(list []store.Change, since, upTo store.Revision) []store.Change {
+	if r.revision < since {
+		upTo = r.revision
+	}
+	return r.Apply(list, upTo)
+}
+
 // Apply takes changes that complete the replica up to a revision, and returns those that were news.
 func (r *Replica) Apply(list []store.Change, upTo store.Revision) []store.Change {
 	var news []store.Change
--- a/core/mirror/replica_test.go
+++ b/core/mirror/replica_test.go
@@ -79,6 +79,13 @@
 			Expect(content(r)).To(Equal(state(past)))
 		})
 	})
+	It("is not complete after changes that follow on what it lacks", func() {
+		r := mirror.NewReplica()
+		r.Merge([]store.Change{{Item: store.Item{Key: "routers/b", Modified: 9}}}, 8, 9)
+		Expect(r.Revision()).To(BeZero(), "it would never ask for the configuration")
+		r.Merge([]store.Change{{Item: store.Item{Key: "config", Modified: 3}}}, 0, 9)
+		Expect(r.Revision()).To(BeEquivalentTo(9))
+	})
 	It("tells each change once", func() {
 		r := mirror.NewReplica()
 		list := []store.Change{{Item: store.Item{Key: "a", Modified: 3}}}
--- a/core/placing/gate_test.go
+++ b/core/placing/gate_test.go
@@ -16,64 +16,90 @@
 // Admit implements placing.Waiter.
 func (c *caller) Admit() { c.admitted = true }
 
-// crest plays the first second after all routers have returned: every caller that waited asks at once. It returns the calls
-// that were served in time and the refusals by the upstreams, which run 18 calls of 30 ms at once and queue 72.
+// crestCall is a call of the first second after all routers have returned.
+type crestCall struct {
+	*caller
+	router int
+}
+
+// crestRun plays upstreams that run 18 calls of 30 ms at once and hold 90, behind routers with or without a gate.
+type crestRun struct {
+	gates           []*placing.Gate
+	gated           bool
+	held            []int
+	served, refused int
+}
+
+const (
+	crestSlots = 18
+	crestHeld  = 90
+	crestStep  = 30 * time.Millisecond
+	crestSteps = 27
+)
+
+func (c *crestRun) enter(w crestCall) {
+	if !c.gated {
+		w.admitted = true
+		return
+	}
+	if _, ok := c.gates[w.router].Enter(); ok {
+		w.admitted = true
+		return
+	}
+	c.gates[w.router].Wait(w.caller)
+}
+
+// send hands an admitted call to the upstreams, and returns false when they are full.
+func (c *crestRun) send(w crestCall, now time.Time) bool {
+	if len(c.held) < crestHeld {
+		c.held = append(c.held, w.router)
+		return true
+	}
+	c.refused++
+	if c.gated {
+		w.admitted = false
+		c.gates[w.router].Leave(true, 0, now)
+	}
+	c.enter(w)
+	return false
+}
+
+func (c *crestRun) finish(now time.Time) {
+	done := min(crestSlots, len(c.held))
+	for _, r := range c.held[:done] {
+		c.served++
+		if c.gated {
+			c.gates[r].Leave(false, crestStep, now)
+		}
+	}
+	c.held = c.held[done:]
+}
+
+// crest has every caller that waited for the routers' return ask at once. It returns the calls that were served within 810 ms
+// and the refusals by the upstreams.
 func crest(routers, callers int, gated bool) (served, refused int) {
-	const slots, held, steps = 18, 90, 27
-	call := 30 * time.Millisecond
-	var gates []*placing.Gate
+	c := &crestRun{gated: gated}
 	for range routers {
-		gates = append(gates, placing.NewGate(slots, routers))
-	}
-	type waiting struct {
-		*caller
-		router int
+		c.gates = append(c.gates, placing.NewGate(crestSlots, routers))
 	}
-	var pending []waiting
+	var pending []crestCall
 	for i := range callers {
-		w := waiting{&caller{}, i % routers}
-		if _, ok := gates[w.router].Enter(); ok || !gated {
-			w.admitted = true
-		} else {
-			gates[w.router].Wait(w.caller)
-		}
+		w := crestCall{&caller{}, i % routers}
+		c.enter(w)
 		pending = append(pending, w)
 	}
-	var atUpstreams []int
-	for step := range steps {
-		now := start.Add(time.Duration(step) * call)
-		var later []waiting
+	for step := range crestSteps {
+		now := start.Add(time.Duration(step) * crestStep)
+		var later []crestCall
 		for _, w := range pending {
-			switch {
-			case !w.admitted:
-				later = append(later, w)
-			case len(atUpstreams) < held:
-				atUpstreams = append(atUpstreams, w.router)
-			default:
-				refused++
-				if gated {
-					gates[w.router].Leave(true, 0, now)
-					w.admitted = false
-					if _, ok := gates[w.router].Enter(); ok {
-						w.admitted = true
-					} else {
-						gates[w.router].Wait(w.caller)
-					}
-				}
+			if !w.admitted || !c.send(w, now) {
 				later = append(later, w)
 			}
 		}
 		pending = later
-		done := min(slots, len(atUpstreams))
-		for _, r := range atUpstreams[:done] {
-			if gated {
-				gates[r].Leave(false, call, now)
-			}
-			served++
-		}
-		atUpstreams = atUpstreams[done:]
+		c.finish(now)
 	}
-	return served, refused
+	return c.served, c.refused
 }
 
 var _ = Describe("a gate before short calls", func() {
--- a/router/direct.go
+++ b/router/direct.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -17,9 +18,19 @@
 // #include <stdlib.h>
 import "C" // The platform runs only programs that are linked to the C library.
 
+// dropReport is the pause between reports of dropped log lines.
+const dropReport = time.Second
+
+func reportDropped(out *event.Queue, log *event.Log) {
+	if n := out.Dropped(); n > 0 {
+		log.Write(event.LinesDropped, "lines", n)
+	}
+}
+
 // serveDirect runs a router that speaks to the platform's upstreams itself.
 func serveDirect(ctx context.Context, cfg direct.Settings, path string) error {
 	hangups := process.Hangups()
+	clock := clockwork.NewRealClock()
 	out := event.NewQueue(os.Stdout)
 	g := group.New(context.Background())
 	g.Go(out.Run)
@@ -27,12 +38,13 @@
 	log := event.New(out, cfg.Level(), string(cfg.VM))
 	s := platform.NewStore(cfg.Store.Address, upstream.Dial)
 	a, err := direct.New(cfg, direct.Options{
-		Clock: clockwork.NewRealClock(), Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial, ForgetStore: s.Forget,
+		Clock: clock, Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial, ForgetStore: s.Forget,
 		Decode: direct.Decoder{Layout: platform.Layout, Config: platform.Config, Upstream: platform.Upstream},
 	})
 	if err != nil {
 		return err
 	}
+	g.Go(func(ctx context.Context) { group.Every(ctx, clock, dropReport, func() { reportDropped(out, log) }) })
 	g.Go(func(ctx context.Context) { a.Reload(ctx, path, hangups) })
 	return a.Run(ctx)
 }
--- a/router/direct/edge.go
+++ b/router/direct/edge.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/ids"
@@ -61,7 +63,7 @@
 		x.refuse(err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.end)
+	ctx, cancel := clockwork.WithDeadline(r.Context(), e.clock, x.end)
 	defer cancel()
 	x.ctx = ctx
 	e.mu.Lock()
--- a/router/neighbour/server.go
+++ b/router/neighbour/server.go
@@ -26,7 +26,7 @@
 	t.known[vm] = store.Revision(n.GetRevision())
 	t.mu.Unlock()
 	if n.GetComplete() {
-		t.o.Merge(changes(n.GetChanges()), store.Revision(n.GetRevision()))
+		t.o.Merge(changes(n.GetChanges()), store.Revision(n.GetChangesSince()), store.Revision(n.GetRevision()))
 	}
 	t.o.Take(n)
 	list, revision := t.o.Since(store.Revision(n.GetRevision()))
--- a/router/neighbour/teller.go
+++ b/router/neighbour/teller.go
@@ -52,8 +52,8 @@
 	News func() *wire.News
 	// Take takes another router's news.
 	Take func(n *wire.News)
-	// Merge takes changes of the store.
-	Merge func(list []store.Change, upTo store.Revision)
+	// Merge takes the changes of the store between two revisions.
+	Merge func(list []store.Change, since, upTo store.Revision)
 	// Serves tells whether this router is the one that sends another the changes of the store.
 	Serves func(vm ids.VM) bool
 	// Since returns the changes of the store behind a revision.
@@ -194,7 +194,7 @@
 		t.o.Log.Write(event.PeerChanged, "router", vm, "state", "answers again")
 	}
 	if reply.GetComplete() {
-		t.o.Merge(changes(reply.GetChanges()), store.Revision(reply.GetRevision()))
+		t.o.Merge(changes(reply.GetChanges()), store.Revision(news.GetRevision()), store.Revision(reply.GetRevision()))
 	}
 }
 
@@ -211,6 +211,7 @@
 	out.Revision = uint64(revision)
 	out.Changes = encode(list)
 	out.Complete = true
+	out.ChangesSince = uint64(known)
 	return out
 }
 
