--- a/core/placing/calls.go
+++ b/core/placing/calls.go
@@ -65,6 +65,9 @@
 	c.report[id] = callReport{at: now, busy: busy, slowness: slowness, ownThen: c.own[id]}
 }
 
+// Forget drops what an upstream that is gone has reported.
+func (c *Calls) Forget(id ids.VM) { delete(c.report, id) }
+
 // Pick returns the candidate with the least work for its slots and speed.
 func (c *Calls) Pick(list []Candidate, slots map[ids.VM]int, now time.Time) (Candidate, bool) {
 	var best Candidate
--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -93,11 +93,8 @@
 	l.slowness[id] = l.Slowness(id)*(1-slownessWeight) + ratio*slownessWeight
 }
 
-// Forget drops what is known of an engine's past when it has started anew.
-func (l *Ledger) Forget(id ids.VM) {
-	delete(l.slowness, id)
-	delete(l.own, id)
-}
+// Forget drops what was measured at an engine that is gone.
+func (l *Ledger) Forget(id ids.VM) { delete(l.slowness, id) }
 
 // add changes the own work at an engine; an engine without work is dropped.
 func (l *Ledger) add(id ids.VM, w Work) {
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -145,7 +145,7 @@
 	a.group.Go(a.edge.learnPrompts)
 	a.group.Go(a.edge.probes.run)
 	a.group.Go(func(ctx context.Context) { group.Every(ctx, a.o.Clock, expireInterval, a.tidy) })
-	a.o.Log.Write(event.Started, "callers", a.cfg.Callers, "failure_domain", a.cfg.FailureDomain)
+	a.o.Log.Write(event.Started, "callers", a.cfg.Callers, "region", a.cfg.Region, "failure_domain", a.cfg.FailureDomain)
 	select {
 	case <-ctx.Done():
 		a.planStop()
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -80,7 +80,7 @@
 	u, ok := x.pickCall(tried)
 	if !ok {
 		x.leaveGate(false, 0)
-		return nil, u, fault.New(fault.NoUpstream, "service %s", x.service.Name)
+		return nil, u, x.noUpstream()
 	}
 	a, err := x.tryCall(u, tried)
 	x.leaveGate(errors.Is(err, errShed), x.clock.Since(began))
@@ -110,6 +110,16 @@
 	return nil
 }
 
+// noUpstream refuses a request for which no upstream is in use.
+func (x *exchange) noUpstream() error {
+	f := fault.New(fault.NoUpstream, "service %s", x.service.Name)
+	f.Kind.RetryAfter = upstreamReturn
+	return f
+}
+
+// upstreamReturn is when an upstream is likely to be back: a lost one is probed each second.
+const upstreamReturn = 500 * time.Millisecond
+
 // notRunAttempts bounds the upstreams that may refuse a request before the caller is told.
 const notRunAttempts = 6
 
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -185,7 +185,7 @@
 		}
 		*lease = 0
 	}
-	l, _, err := a.o.Store.Grant(ctx, entryLease)
+	l, _, err := a.o.Store.Grant(ctx, max(entryLease, time.Duration(a.cfg.Store.LeaseMinimumMs)*time.Millisecond))
 	if err != nil {
 		return err
 	}
--- a/router/direct/probe.go
+++ b/router/direct/probe.go
@@ -25,6 +25,8 @@
 	connectWeight = 0.3
 	// recentCheck is the pause within which an upstream is not checked aside twice.
 	recentCheck = 100 * time.Millisecond
+	// maxChecked bounds the upstreams whose last check is remembered; it is above the upstreams of a large site.
+	maxChecked = 1024
 	// retryProbe is the pause between the probes of upstreams that are out of use. One at a time is probed, since all routers
 	// do so.
 	retryProbe = 50 * time.Millisecond
@@ -93,6 +95,9 @@
 func (p *prober) check(u fleet.Upstream) {
 	p.mu.Lock()
 	recent := p.clock.Since(p.checked[u.ID]) < recentCheck
+	if len(p.checked) > maxChecked {
+		clear(p.checked)
+	}
 	p.checked[u.ID] = p.clock.Now()
 	p.mu.Unlock()
 	if recent {
--- a/router/direct/prompts.go
+++ b/router/direct/prompts.go
@@ -39,6 +39,7 @@
 	}
 	wg.Wait()
 	e.nudge()
+	e.log.Write(event.Ready, "config_version", uint64(e.config.Load().Version))
 }
 
 func (e *edge) learn(ctx context.Context, u fleet.Upstream) {
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -81,7 +81,7 @@
 		return fault.New(fault.DeadlineExceeded, "after %s", s.clock.Since(s.began))
 	}
 	if errors.Is(err, errNoUpstream) {
-		return fault.New(fault.NoUpstream, "service %s", s.service.Name)
+		return s.noUpstream()
 	}
 	if s.mayHaveRun && !s.route.Repeatable() {
 		return fault.Wrap(fault.CallOutcomeUnknown, err, "sent once")
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -119,6 +119,8 @@
 	if c.Removed {
 		id := ids.VM(c.Key[len(w.decode.Layout.Upstreams):])
 		w.fleet.Remove(id, now)
+		w.picker.Forget(id)
+		w.calls.Forget(id)
 		w.log.Write(event.UpstreamChanged, "upstream", id, "state", "entry removed", "store_revision", uint64(c.Modified))
 		return
 	}
