--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -131,6 +131,10 @@
 	}
 	old, known := w.fleet.Get(e.ID)
 	w.fleet.Put(e)
+	if !known || old.Started != e.Started {
+		// Connections of the address's former upstream may look open when it was lost without a word.
+		w.pool.Drop(e.Address)
+	}
 	if known && old.Entry == e {
 		return
 	}
--- /dev/null
+++ b/router/direct/world_test.go
@@ -0,0 +1,64 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/mirror"
+	"bilberrylug.dev/core/store"
+)
+
+const upstreamAddress = "10.0.0.1:80"
+
+// newTestWorld returns a world in which the entry "upstreams/ID" with any value names an upstream at the same address, and the
+// far ends of the connections that it opens.
+func newTestWorld() (*world, func() net.Conn) {
+	var far net.Conn
+	w := newWorld(Settings{VM: "entry", FailureDomain: "north", Retries: Retries{WindowSeconds: 10}}, Options{
+		Clock: clockwork.NewFakeClock(), Log: event.New(io.Discard, slog.LevelError, "entry"),
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			near, other := net.Pipe()
+			far = other
+			return near, nil
+		},
+		Decode: Decoder{
+			Layout: mirror.Layout{Config: "config", Upstreams: "upstreams/", Routers: "routers/"},
+			Upstream: func(key string, _ []byte) (fleet.Entry, error) {
+				id := ids.VM(strings.TrimPrefix(key, "upstreams/"))
+				return fleet.Entry{ID: id, Service: "desk", Address: upstreamAddress, Domain: "north", Slots: 6}, nil
+			},
+		},
+	})
+	return w, func() net.Conn { return far }
+}
+
+func registered(id string, at store.Revision) []store.Change {
+	return []store.Change{{Item: store.Item{Key: "upstreams/" + id, Modified: at}}}
+}
+
+var _ = Describe("the router's view of upstreams", func() {
+	It("keeps no connection to the upstream that an address had before", func() {
+		w, far := newTestWorld()
+		w.changed(registered("a", 1))
+		conn, err := w.pool.Dial(context.Background(), upstreamAddress)
+		Expect(err).NotTo(HaveOccurred())
+		w.pool.Keep(conn)
+		w.changed(registered("b", 2))
+		Expect(far().SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		_, err = far().Read(make([]byte, 1))
+		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "a request that may run once would be sent into a connection of the dead")
+		Expect(w.fleet.Usable("desk")).To(HaveLen(1))
+	})
+})
