--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -58,7 +58,7 @@
 		Expect(far().SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 		w.changed(registered("b", 2))
 		_, err = far().Read(make([]byte, 1))
-		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "a request that may run once would be sent into a connection of the dead")
+		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "a request that may run once would be lost on it")
 		Expect(w.fleet.Usable("desk")).To(HaveLen(1))
 	})
 })
