--- a/core/book/suite_test.go
+++ b/core/book/suite_test.go
@@ -1,16 +1,9 @@
 package book_test
 
 import (
-	"flag"
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"bilberrylug.dev/core/testkit"
 )
 
-func init() { _ = flag.Set("rapid.seed", "20261204") }
-
-func TestBook(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "book")
-}
+func TestBook(t *testing.T) { testkit.Run(t, "book") }
--- a/core/choice/suite_test.go
+++ b/core/choice/suite_test.go
@@ -1,16 +1,9 @@
 package choice_test
 
 import (
-	"flag"
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"bilberrylug.dev/core/testkit"
 )
 
-func init() { _ = flag.Set("rapid.seed", "20261204") }
-
-func TestChoice(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "choice")
-}
+func TestChoice(t *testing.T) { testkit.Run(t, "choice") }
--- a/core/membership/suite_test.go
+++ b/core/membership/suite_test.go
@@ -1,16 +1,9 @@
 package membership_test
 
 import (
-	"flag"
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"bilberrylug.dev/core/testkit"
 )
 
-func init() { _ = flag.Set("rapid.seed", "20261204") }
-
-func TestMembership(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "membership")
-}
+func TestMembership(t *testing.T) { testkit.Run(t, "membership") }
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -90,10 +90,7 @@
 // afterCall decides whether a call that was not answered well is sent again; the fault is its final answer if not.
 func (x *exchange) afterCall(err error) error {
 	if x.left() < hopelessTime {
-		if x.mayHaveRun {
-			return fault.New(fault.TimedOut, "after %s", x.clock.Since(x.began))
-		}
-		return fault.New(fault.DeadlineExceeded, "after %s", x.clock.Since(x.began))
+		return x.outOfTime()
 	}
 	if x.mayHaveRun && !x.route.Repeatable() {
 		return fault.Wrap(fault.CallOutcomeUnknown, err, "sent once")
@@ -110,6 +107,15 @@
 	return nil
 }
 
+// outOfTime is the final answer of a request whose time is over.
+func (x *exchange) outOfTime() error {
+	code := fault.DeadlineExceeded
+	if x.mayHaveRun {
+		code = fault.TimedOut
+	}
+	return fault.New(code, "after %s", x.clock.Since(x.began))
+}
+
 // noUpstream refuses a request for which no upstream is in use.
 func (x *exchange) noUpstream() error {
 	f := fault.New(fault.NoUpstream, "service %s", x.service.Name)
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -75,10 +75,7 @@
 // after decides whether a lost generation goes on; the fault is its end if not.
 func (s *stream) after(err error) error {
 	if s.left() < hopelessTime {
-		if s.mayHaveRun {
-			return fault.New(fault.TimedOut, "after %s", s.clock.Since(s.began))
-		}
-		return fault.New(fault.DeadlineExceeded, "after %s", s.clock.Since(s.began))
+		return s.outOfTime()
 	}
 	if errors.Is(err, errNoUpstream) {
 		return s.noUpstream()
