A stopping router sends away at once what cannot end there, and knows when a router is back

Now news tell what remains of a stop. A generation that is not expected to end in time goes to another router while one serves; when none does it is begun. Retry-After is the time until the first router is back. Calls are taken while their own limit ends before the stop does. The pace of outputs is measured.

--- /dev/null
+++ b/core/placing/pace.go
@@ -0,0 +1,34 @@
+package placing
+
+import "time"
+
+// paceWeight is the weight of a generation's pace in the running mean; the engines' load changes within some generations.
+const paceWeight = 0.1
+
+// Pace is the usual time that engines take for an output token. Its zero value has measured nothing.
+type Pace struct{ usual time.Duration }
+
+// Measured takes the time that a number of output tokens took.
+func (p *Pace) Measured(taken time.Duration, tokens int) {
+	if tokens <= 0 {
+		return
+	}
+	each := taken / time.Duration(tokens)
+	if p.usual == 0 {
+		p.usual = each
+		return
+	}
+	p.usual += time.Duration(paceWeight * float64(each-p.usual))
+}
+
+// Expected returns how long a generation takes that is placed now: its prompt is read, then the output follows.
+func (p *Pace) Expected(m Model, n Need) time.Duration {
+	each := p.usual
+	if each == 0 {
+		each = m.Step + time.Duration(m.Slots/runningShare)*m.StepPerRun
+	}
+	return m.FirstEvent(Work{}, n.Prompt, 1) + time.Duration(n.Output)*each
+}
+
+// runningShare is the part of an engine's slots that is taken to be in use while nothing was measured: one in this many.
+const runningShare = 8
--- /dev/null
+++ b/core/stopping/fleet.go
@@ -0,0 +1,66 @@
+package stopping
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+const (
+	// heardLife is how long a router counts as serving after its last word; routers tell something twice a second.
+	heardLife = 1500 * time.Millisecond
+	// RestartTime is how long the platform and the process take from the end of a stopped router to its next start.
+	RestartTime = 700 * time.Millisecond
+	// atOnce is when a caller comes back while another router serves: on a new connection, which the balancer gives to it.
+	atOnce = 100 * time.Millisecond
+	// backLife is how long past its announced return a stopped router is still expected.
+	backLife = 3 * time.Second
+)
+
+// Fleet knows which other routers serve, and when those that stop are back. It is not safe for concurrent use.
+type Fleet struct {
+	serving map[ids.VM]time.Time
+	back    map[ids.VM]time.Time
+}
+
+// NewFleet returns a fleet without other routers.
+func NewFleet() *Fleet { return &Fleet{serving: map[ids.VM]time.Time{}, back: map[ids.VM]time.Time{}} }
+
+// Serves notes the word of a router that serves.
+func (f *Fleet) Serves(vm ids.VM, now time.Time) {
+	f.serving[vm] = now
+	delete(f.back, vm)
+}
+
+// Stops notes the word of a router that stops, with the time that its stop may still take.
+func (f *Fleet) Stops(vm ids.VM, left time.Duration, now time.Time) {
+	delete(f.serving, vm)
+	f.back[vm] = now.Add(left + RestartTime)
+}
+
+// Serving tells whether another router serves.
+func (f *Fleet) Serving(now time.Time) bool {
+	for vm, at := range f.serving {
+		if now.Sub(at) <= heardLife {
+			return true
+		}
+		delete(f.serving, vm)
+	}
+	return false
+}
+
+// Back returns when a caller is best back that this router refuses because it stops, with the given time left of its stop.
+func (f *Fleet) Back(left time.Duration, now time.Time) time.Duration {
+	if f.Serving(now) {
+		return atOnce
+	}
+	first := left + RestartTime
+	for vm, at := range f.back {
+		if now.Sub(at) > backLife {
+			delete(f.back, vm)
+			continue
+		}
+		first = min(first, at.Sub(now))
+	}
+	return max(first, atOnce)
+}
--- /dev/null
+++ b/core/stopping/suite_test.go
@@ -0,0 +1,9 @@
+package stopping_test
+
+import (
+	"testing"
+
+	"bilberrylug.dev/core/testkit"
+)
+
+func TestStopping(t *testing.T) { testkit.Run(t, "stopping") }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -27,6 +27,7 @@
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/settings"
+	"bilberrylug.dev/core/stopping"
 	"bilberrylug.dev/core/store"
 	"bilberrylug.dev/router/neighbour"
 	"bilberrylug.dev/router/upstream"
@@ -41,9 +42,6 @@
 	expireInterval = 200 * time.Millisecond
 	// stopPoll is the pause between looks at the running work of a planned stop.
 	stopPoll = 50 * time.Millisecond
-	// stopNotice is the time in which the balancer learns of a planned stop: it asks once a second and believes the second
-	// miss.
-	stopNotice = 3 * time.Second
 	// stopMargin is left of the stop's time for ending the process: for drainTime, entryEnd, and a busy processor.
 	stopMargin = 700 * time.Millisecond
 	// drainTime bounds the closing of callers' connections.
@@ -80,7 +78,6 @@
 	dialer   *link.Dialer
 	group    *group.Group
 	stop     *stopper
-	began    time.Time
 }
 
 // New puts a router together.
@@ -91,9 +88,9 @@
 	}
 	w := newWorld(cfg, o)
 	g := group.New(context.Background())
-	stop := &stopper{clock: o.Clock, longWork: stopNotice}
+	stop := &stopper{clock: o.Clock}
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
-	a := &App{began: o.Clock.Now(), dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
+	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
 	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop, learnt: make(chan struct{})}
 	a.edge.probes.identify = a.edge.identify
 	a.follower = mirror.NewFollower(mirror.Options{
@@ -201,7 +198,7 @@
 	case <-a.edge.learnt:
 		return true
 	default:
-		return a.stop.clock.Since(a.began) > readyLimit
+		return a.o.Clock.Since(a.world.began) > readyLimit
 	}
 }
 
@@ -224,8 +221,9 @@
 func (a *App) planStop() {
 	a.stop.begin()
 	a.o.Log.Write(event.Stopping, "active", a.stop.active.Load())
-	for a.stop.since() < time.Duration(a.stop.limit.Load())-stopMargin {
-		if a.stop.since() > stopNotice && a.stop.active.Load() == 0 {
+	for {
+		s, _ := a.stop.stop()
+		if s.Left == 0 || s.Since > stopping.Notice && a.stop.active.Load() == 0 {
 			return
 		}
 		a.o.Clock.Sleep(stopPoll)
--- a/router/direct/edge.go
+++ b/router/direct/edge.go
@@ -107,8 +107,8 @@
 	if p := x.req.Patience; p > 0 && p < route.Timeout {
 		x.end = x.began.Add(p)
 	}
-	if x.stop.full() || route.Kind == routing.Streaming && x.stop.closing() {
-		return fault.New(fault.RouterStopping, "")
+	if err := x.admitStopping(); err != nil {
+		return err
 	}
 	return x.readBody(cfg.Limits.MaxBodyBytes)
 }
--- a/router/direct/follow.go
+++ b/router/direct/follow.go
@@ -137,11 +137,24 @@
 // complete ends an answer that the upstream has ended well.
 func (s *stream) complete(resp *http.Response) error {
 	s.start(resp)
+	s.measurePace()
 	s.logEnd(http.StatusOK, "events", s.delivered, "first_event", s.firstAfter.String(), "longest_pause", s.pause.String())
 	s.metrics.Histogram("longest_pause_ms", "service", string(s.service.Name)).Update(s.pause.Milliseconds())
 	return nil
 }
 
+// measurePace notes the pace of an output that came from one upstream.
+func (s *stream) measurePace() {
+	e := s.service.Engine
+	if e == nil || s.attempts != 1 {
+		return
+	}
+	taken := s.lastAt.Sub(s.began) - s.firstAfter
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	s.pace.Measured(taken, (s.delivered-1)*e.EventTokens)
+}
+
 func (s *stream) firstEvent(r *run) {
 	now := s.clock.Now()
 	taken := now.Sub(r.began)
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -40,11 +40,15 @@
 func (a *App) news() *wire.News {
 	w := a.world
 	n := &wire.News{
-		Sender: string(a.cfg.VM), Address: a.cfg.Peers, Revision: uint64(a.follower.Revision()), Leaving: a.stop.stopping(),
+		Sender: string(a.cfg.VM), Address: a.cfg.Peers, Revision: uint64(a.follower.Revision()),
 	}
 	if served := a.follower.ServedAt(); !served.IsZero() {
 		n.StoreAgeMs = uint32(max(1, w.clock.Since(served).Milliseconds()))
 	}
+	if s, stops := a.stop.stop(); stops {
+		n.Leaving = true
+		n.StopLeftMs = uint32(s.Left.Milliseconds())
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clock.Now()
@@ -96,12 +100,7 @@
 	}
 	w.mu.Lock()
 	now := w.clock.Now()
-	switch age := n.GetStoreAgeMs(); {
-	case n.GetLeaving():
-		w.duty.Gone(ids.VM(n.GetSender()))
-	case age > 0:
-		w.duty.Heard(ids.VM(n.GetSender()), now.Add(-time.Duration(age)*time.Millisecond))
-	}
+	w.takePresence(n, now)
 	w.picker.Peer(ids.VM(n.GetSender()), work, now)
 	w.calls.Peer(ids.VM(n.GetSender()), calls, now)
 	for _, h := range n.GetHomes() {
@@ -121,6 +120,22 @@
 	}
 }
 
+// takePresence notes whether another router serves and whether the store answers it. The caller holds the lock.
+func (w *world) takePresence(n *wire.News, now time.Time) {
+	sender := ids.VM(n.GetSender())
+	if n.GetLeaving() {
+		w.duty.Gone(sender)
+		w.others.Stops(sender, time.Duration(n.GetStopLeftMs())*time.Millisecond, now)
+		return
+	}
+	if n.GetRevision() > 0 {
+		w.others.Serves(sender, now)
+	}
+	if age := n.GetStoreAgeMs(); age > 0 {
+		w.duty.Heard(sender, now.Add(-time.Duration(age)*time.Millisecond))
+	}
+}
+
 // placedPrompt notes where a prompt is being read, for this router and the others. The caller holds the lock.
 func (w *world) placedPrompt(name string, at ids.VM) {
 	if name == "" {
--- a/router/direct/stopper.go
+++ b/router/direct/stopper.go
@@ -5,18 +5,15 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-)
 
-// lastWork is the time before the process ends in which no work is taken on: a call takes up to two seconds.
-const lastWork = 2500 * time.Millisecond
+	"bilberrylug.dev/core/stopping"
+)
 
 // stopper follows a planned stop.
 type stopper struct {
 	clock  clockwork.Clock
 	began  atomic.Pointer[time.Time]
 	active atomic.Int64
-	// longWork is the time from the stop's begin in which long work is still taken on.
-	longWork time.Duration
 	// limit is the time that a planned stop may take, in nanoseconds.
 	limit atomic.Int64
 }
@@ -33,17 +30,12 @@
 // stopping tells that the planned stop has begun.
 func (s *stopper) stopping() bool { return s.began.Load() != nil }
 
-// closing tells that long work would not end before the process does.
-func (s *stopper) closing() bool {
-	began := s.began.Load()
-	return began != nil && s.clock.Since(*began) > s.longWork
-}
-
-// full tells that no further work is taken on, so that what was taken on ends before the process does.
-func (s *stopper) full() bool {
+// stop returns where the planned stop stands, if there is one.
+func (s *stopper) stop() (stopping.Stop, bool) {
 	began := s.began.Load()
-	return began != nil && s.clock.Since(*began) > time.Duration(s.limit.Load())-lastWork
+	if began == nil {
+		return stopping.Stop{}, false
+	}
+	since := s.clock.Since(*began)
+	return stopping.Stop{Since: since, Left: max(0, time.Duration(s.limit.Load())-stopMargin-since)}, true
 }
-
-// since is the time since the stop's begin.
-func (s *stopper) since() time.Duration { return s.clock.Since(*s.began.Load()) }
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -45,7 +45,7 @@
 	s := &stream{
 		exchange: x, model: x.engineModel(), last: x.req.LastEvent, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
 		lostIn: map[ids.FailureDomain]bool{}, failedAt: map[ids.VM]bool{},
-		need: placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput},
+		need: x.need(),
 	}
 	for {
 		err := s.try()
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -15,6 +15,7 @@
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/placing"
 	"bilberrylug.dev/core/routing"
+	"bilberrylug.dev/core/stopping"
 	"bilberrylug.dev/core/store"
 	"bilberrylug.dev/core/wire"
 	"bilberrylug.dev/router/upstream"
@@ -62,6 +63,12 @@
 	reuse time.Duration
 	// renamed are the upstreams found under another name.
 	renamed []renamed
+	// others are the routers that serve and those that stop.
+	others *stopping.Fleet
+	// pace is the usual pace of the generations' output.
+	pace placing.Pace
+	// began is when the process started.
+	began time.Time
 	// routerChanged takes changes of the routers' entries.
 	routerChanged func(c store.Change)
 }
@@ -74,6 +81,7 @@
 		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Ledger: placing.NewLedger()},
 		gates:  map[ids.Service]*placing.Gate{}, calls: placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
 		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM), reuse: cfg.reuse(),
+		others: stopping.NewFleet(), began: o.Clock.Now(),
 	}
 }
 
