--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -164,7 +164,7 @@
 // list reads all prefixes anew.
 func (f *Follower) list(ctx context.Context) error {
 	var at store.Revision
-	for _, prefix := range []string{f.o.Layout.Config, f.o.Layout.Upstreams, f.o.Layout.Routers} {
+	for _, prefix := range []string{f.o.Layout.Upstreams, f.o.Layout.Config, f.o.Layout.Routers} {
 		items, revision, err := f.listPrefix(ctx, prefix)
 		if err != nil {
 			return err
--- a/router/direct/edge.go
+++ b/router/direct/edge.go
@@ -83,9 +83,9 @@
 	if err != nil {
 		return err
 	}
-	cfg := x.config.Load()
+	cfg := x.awaitStart()
 	if cfg == nil {
-		return fault.New(fault.NotReady, "no configuration")
+		return x.notReady()
 	}
 	route, found := cfg.Match(x.r.Host, x.r.URL.EscapedPath())
 	if !found {
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -40,6 +40,8 @@
 	pool    *upstream.Pool
 
 	config atomic.Pointer[routing.Config]
+	// configured is closed at the first configuration.
+	configured chan struct{}
 
 	mu     sync.Mutex
 	fleet  *fleet.Directory
@@ -81,25 +83,29 @@
 		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Ledger: placing.NewLedger()},
 		gates:  map[ids.Service]*placing.Gate{}, calls: placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
 		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM), reuse: cfg.reuse(),
-		others: stopping.NewFleet(), began: o.Clock.Now(),
+		configured: make(chan struct{}), others: stopping.NewFleet(), began: o.Clock.Now(),
 	}
 }
 
 // minRouters is the number of routers that is assumed before the others are known.
 const minRouters = 4
 
-// changed takes news of the store.
+// changed takes news of the store. A configuration comes last, so that its upstreams are known when it is in force.
 func (w *world) changed(news []store.Change) {
+	var config []store.Change
 	for _, c := range news {
 		switch {
 		case c.Key == w.decode.Layout.Config:
-			w.configChanged(c)
+			config = append(config, c)
 		case hasPrefix(c.Key, w.decode.Layout.Upstreams):
 			w.upstreamChanged(c)
 		case hasPrefix(c.Key, w.decode.Layout.Routers):
 			w.routerChanged(c)
 		}
 	}
+	for _, c := range config {
+		w.configChanged(c)
+	}
 }
 
 func (w *world) configChanged(c store.Change) {
@@ -114,7 +120,9 @@
 	if old := w.config.Load(); old != nil && old.Version >= cfg.Version {
 		return
 	}
-	w.config.Store(cfg)
+	if w.config.Swap(cfg) == nil {
+		close(w.configured)
+	}
 	w.metrics.Gauge("config_version").Update(int64(cfg.Version))
 	w.log.Write(event.ConfigInForce, "version", uint64(cfg.Version), "store_revision", uint64(c.Modified))
 }
--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -17,6 +17,7 @@
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/mirror"
+	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/core/store"
 )
 
@@ -35,6 +36,9 @@
 		},
 		Decode: Decoder{
 			Layout: mirror.Layout{Config: "config", Upstreams: "upstreams/", Routers: "routers/"},
+			Config: func(value []byte) (*routing.Config, error) {
+				return routing.New(routing.Version(len(value)), nil, nil, nil, routing.Limits{}), nil
+			},
 			Upstream: func(key string, _ []byte) (fleet.Entry, error) {
 				id := ids.VM(strings.TrimPrefix(key, "upstreams/"))
 				return fleet.Entry{ID: id, Service: "desk", Address: upstreamAddress, Domain: "north", Slots: 6}, nil
@@ -48,6 +52,11 @@
 	return []store.Change{{Item: store.Item{Key: "upstreams/" + id, Modified: at}}}
 }
 
+// configured is a change to the configuration of the given version.
+func configured(version int) store.Change {
+	return store.Change{Item: store.Item{Key: "config", Value: make([]byte, version)}}
+}
+
 var _ = Describe("the router's view of upstreams", func() {
 	It("keeps no connection to the upstream that an address had before", func() {
 		w, far := newTestWorld()
@@ -61,4 +70,13 @@
 		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "a request that may run once would be lost on it")
 		Expect(w.fleet.Usable("desk")).To(HaveLen(1))
 	})
+	It("knows the upstreams before the configuration that names their services is in force", func() {
+		w, _ := newTestWorld()
+		w.decode.Config = func([]byte) (*routing.Config, error) {
+			Expect(w.fleet.Usable("desk")).To(HaveLen(1), "a request would be refused for want of an upstream")
+			return routing.New(1, nil, nil, nil, routing.Limits{}), nil
+		}
+		w.changed(append([]store.Change{configured(1)}, registered("a", 1)...))
+		Expect(w.config.Load()).NotTo(BeNil())
+	})
 })
