Engines that start anew are found by their names at any time, and failure domains with lost runs are avoided

Now a name is adopted whether the store answers or not, within the time in which the address cannot have changed its service; an upstream that was out of use is asked for its name before it gets work; a run that finds another engine, or none, keeps the generation's next runs out of that domain; connections to an upstream that another router has lost are dropped, and it gets no work until it answers, registers anew, or 3 s have passed (was 1 s).

--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -21,9 +21,9 @@
 	domainWindow = time.Second
 	// domainLosses is the number of upstreams lost together that puts their failure domain under suspicion.
 	domainLosses = 2
-	// doubtTime is how long another router's word on a loss counts: the upstream registers its next start by then, or the
-	// other router has found it again.
-	doubtTime = time.Second
+	// doubtTime is how long another router's word on a loss counts, unless the upstream answers before: a crashed one
+	// registers its next start by then.
+	doubtTime = 3 * time.Second
 	// adoptMargin covers the way of the last answer and of the probe.
 	adoptMargin = 200 * time.Millisecond
 	// awayProbePause is the least time between the probes of one upstream while the store is away: its next start is found
--- a/core/fleet/directory_test.go
+++ b/core/fleet/directory_test.go
@@ -129,6 +129,20 @@
 		d.Put(registered)
 		Expect(usable(d)).To(Equal([]ids.VM{"1", "7"}))
 	})
+	It("keeps work from an upstream that another router has lost until it answers, registers anew, or three seconds have passed", func() {
+		d := served(fleet.New(2 * time.Second))
+		d.Put(entry("0", 1))
+		doubtful := func(after time.Duration) bool { u, _ := d.Get("0"); return d.Doubtful(u, start.Add(after)) }
+		Expect(d.Doubt("0", 1, start)).To(BeTrue())
+		Expect(doubtful(2900 * time.Millisecond)).To(BeTrue())
+		Expect(doubtful(3100 * time.Millisecond)).To(BeFalse())
+		Expect(d.Doubt("0", 1, start.Add(4*time.Second))).To(BeTrue())
+		d.Proved("0", start.Add(4100*time.Millisecond))
+		Expect(doubtful(4200 * time.Millisecond)).To(BeFalse())
+		Expect(d.Doubt("0", 1, start.Add(8*time.Second))).To(BeTrue())
+		d.Put(entry("0", 2))
+		Expect(doubtful(8100 * time.Millisecond)).To(BeFalse())
+	})
 	It("offers lost upstreams as a last resort, and never draining ones", func() {
 		d := served(fleet.New(2 * time.Second))
 		d.Put(entry("0", 1))
--- a/core/fleet/doubt.go
+++ b/core/fleet/doubt.go
@@ -55,7 +55,7 @@
 
 // Doubtful tells whether an upstream is better not given work: it, or its failure domain, seems to be lost.
 func (d *Directory) Doubtful(u Upstream, now time.Time) bool {
-	if !u.lostAt.IsZero() || now.Sub(u.doubtedAt) <= doubtTime {
+	if !u.lostAt.IsZero() || now.Sub(u.doubtedAt) <= doubtTime && !u.provedAt.After(u.doubtedAt) {
 		return true
 	}
 	return d.Suspect(u.Domain, now) && !u.provedAt.After(d.lastLoss(u.Domain))
@@ -110,9 +110,6 @@
 	return true
 }
 
-// Away tells whether the store answers nobody, so that new starts are not registered.
-func (d *Directory) Away() bool { return d.storeDown }
-
 // Proved notes that an upstream has answered a request.
 func (d *Directory) Proved(id ids.VM, now time.Time) {
 	if u, known := d.upstreams[id]; known && now.After(u.provedAt) {
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -92,7 +92,7 @@
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
 	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
 	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop, learnt: make(chan struct{})}
-	a.edge.probes.identify = a.edge.identify
+	a.edge.probes.returned = a.edge.returned
 	a.follower = mirror.NewFollower(mirror.Options{
 		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Answered: w.storeAnswered,
 		Silent: o.ForgetStore, Learned: func() { w.nudge() }, Watch: w.watches,
--- a/router/direct/control.go
+++ b/router/direct/control.go
@@ -11,7 +11,8 @@
 	"bilberrylug.dev/router/upstream"
 )
 
-// control makes a call of the router's own at an upstream and returns what the upstream says of itself, and the body.
+// control makes a call of the router's own at an upstream and returns what the upstream says of itself, also when it refuses
+// the call, and the body.
 func (e *edge) control(ctx context.Context, u fleet.Upstream, call relay.Call) (relay.Reply, []byte, error) {
 	conn, err := e.pool.Get(ctx, u.Address)
 	if err != nil {
@@ -37,7 +38,7 @@
 		conn.Done()
 	}
 	if resp.StatusCode != http.StatusOK {
-		return relay.Reply{}, nil, fmt.Errorf("status %d", resp.StatusCode)
+		return e.dialect.Reply(resp), nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
 	return e.dialect.Reply(resp), body, nil
 }
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -128,7 +128,7 @@
 			return u, true
 		}
 	}
-	list, byID := c.s.candidates(map[ids.VM]bool{}, now)
+	list, byID := c.s.hosts(map[ids.VM]bool{}, now)
 	return c.s.copyHost(c.r, list, byID, now)
 }
 
--- a/router/direct/losses.go
+++ b/router/direct/losses.go
@@ -41,6 +41,8 @@
 	suspect := w.fleet.Suspect(u.Domain, now)
 	affected := w.affected(u, suspect)
 	w.mu.Unlock()
+	// A request on a connection to a former start of the upstream would be lost.
+	w.pool.Drop(u.Address)
 	affected.tell(u, suspect)
 }
 
@@ -95,7 +97,7 @@
 func (w *world) adopt(u fleet.Upstream, name ids.VM) {
 	now := w.clock.Now()
 	w.mu.Lock()
-	adopted := w.fleet.Away() && w.fleet.Adopt(u.ID, name, now, w.reuse)
+	adopted := w.fleet.Adopt(u.ID, name, now, w.reuse)
 	if adopted {
 		w.renamed = append(w.renamed, renamed{old: u.ID, name: name, at: now})
 	}
--- a/router/direct/probe.go
+++ b/router/direct/probe.go
@@ -33,15 +33,15 @@
 )
 
 // prober finds out whether an upstream's VM answers, by opening a connection, which is kept for later requests. An upstream
-// that was out of use and answers is put back in use.
+// that was out of use and answers as the one it was is put back in use.
 type prober struct {
 	*world
 	group  *group.Group
 	flight singleflight.Group
 	// checked is when an upstream was last checked aside.
 	checked map[ids.VM]time.Time
-	// identify asks an upstream which one it is.
-	identify func(ctx context.Context, u fleet.Upstream)
+	// returned is called when an upstream that was out of use answers.
+	returned func(ctx context.Context, u fleet.Upstream)
 	// usual is the running mean of the connection times.
 	usual time.Duration
 }
@@ -79,7 +79,7 @@
 	late := p.fleet.IsLost(u.ID, u.Started)
 	p.mu.Unlock()
 	if late {
-		p.found(u)
+		p.returned(ctx, u)
 	}
 	return nil
 }
@@ -110,20 +110,14 @@
 	})
 }
 
-func (p *prober) away() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.fleet.Away()
-}
-
 // run probes the upstreams that are out of use until the context ends.
 func (p *prober) run(ctx context.Context) {
 	group.Every(ctx, p.clock, retryProbe, func() {
 		p.mu.Lock()
 		u, found := p.fleet.ToProbe(p.clock.Now())
 		p.mu.Unlock()
-		if found && p.alive(u) && p.away() {
-			p.group.Go(func(ctx context.Context) { p.identify(ctx, u) })
+		if found {
+			p.alive(u)
 		}
 	})
 }
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -39,6 +39,7 @@
 	defer s.unplace(r)
 	conn, err := s.connect(s.ctx, r.at)
 	if err != nil {
+		s.avoid(r.at.Domain)
 		return err
 	}
 	s.attempts++
@@ -76,8 +77,12 @@
 	}
 	switch {
 	case s.callerGone(), errors.Is(err, errCallerLost):
-	case errors.Is(err, errNotRun), errors.Is(err, errMoved), errors.Is(err, errHung):
+	case errors.Is(err, errNotRun), errors.Is(err, errHung):
 		s.tried[r.at.ID] = true
+	case errors.Is(err, errMoved):
+		// Its neighbours may have started anew with it.
+		s.tried[r.at.ID] = true
+		s.avoid(r.at.Domain)
 	case errors.Is(err, errDead):
 		s.leave(r, err)
 	case s.failedAt[r.at.ID] || !s.probes.alive(r.at):
@@ -88,10 +93,10 @@
 	}
 }
 
-// leave keeps the next runs away from an upstream, and from its failure domain for copies.
+// leave keeps the next runs and copies away from an upstream and its failure domain.
 func (s *stream) leave(r *run, err error) {
 	s.tried[r.at.ID] = true
-	s.lostIn[r.at.Domain] = true
+	s.avoid(r.at.Domain)
 	if !s.failedAt[r.at.ID] {
 		s.lost(r.at, err.Error())
 	}
@@ -102,7 +107,7 @@
 	now := s.clock.Now()
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
-	list, byID := s.candidates(s.tried, now)
+	list, byID := s.hosts(s.tried, now)
 	r := &run{began: now}
 	need := s.need
 	if c := s.copied; c != nil {
@@ -135,14 +140,29 @@
 	return r, nil
 }
 
+// avoid has further runs and copies placed in other failure domains, while there are any.
+func (s *stream) avoid(d ids.FailureDomain) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostIn[d] = true
+}
+
+// hosts returns the candidates for runs and copies. The caller holds the world's lock.
+func (s *stream) hosts(tried map[ids.VM]bool, now time.Time) ([]placing.Candidate, map[ids.VM]fleet.Upstream) {
+	list, byID := s.candidates(tried, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range list {
+		list[i].Suspect = list[i].Suspect || s.lostIn[list[i].Domain]
+	}
+	return list, byID
+}
+
 // copyHost chooses the upstream that keeps the copy of a run's memory. The caller holds the world's lock.
 func (s *stream) copyHost(r *run, list []placing.Candidate, byID map[ids.VM]fleet.Upstream, now time.Time) (fleet.Upstream, bool) {
 	if s.service.Engine == nil || !s.service.Engine.Backups || !s.route.Resumable {
 		return fleet.Upstream{}, false
 	}
-	for i := range list {
-		list[i].Suspect = list[i].Suspect || s.lostIn[list[i].Domain]
-	}
 	c, ok := s.picker.PickCopy(list, placing.Candidate{ID: r.at.ID, Domain: r.at.Domain}, s.need, s.model, now)
 	return byID[c.ID], ok
 }
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -23,8 +23,6 @@
 	delivered int
 	// copied is the copy of the generation's memory from which the next run goes on, if there is one.
 	copied *memoryCopy
-	// lostIn holds the failure domains in which runs of this generation were lost.
-	lostIn map[ids.FailureDomain]bool
 	// failedAt holds the upstreams that failed a run and live.
 	failedAt map[ids.VM]bool
 	// pause is the longest pause between events, firstAfter the time to the first one.
@@ -38,6 +36,8 @@
 	mu     sync.Mutex
 	conn   connection
 	copier *copier
+	// lostIn holds the failure domains in which runs of this generation were lost.
+	lostIn map[ids.FailureDomain]bool
 }
 
 // stream answers a generation: events are passed on as they come, and a lost run goes on elsewhere behind the last event.
--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -17,6 +19,7 @@
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/mirror"
+	"bilberrylug.dev/core/placing"
 	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/core/store"
 )
@@ -27,7 +30,7 @@
 // far ends of the connections that it opens.
 func newTestWorld() (*world, func() net.Conn) {
 	var far net.Conn
-	w := newWorld(Settings{VM: "entry", FailureDomain: "north", Retries: Retries{WindowSeconds: 10}}, Options{
+	w := newWorld(Settings{VM: "entry", FailureDomain: "north", AddressReuseSeconds: 2, Retries: Retries{WindowSeconds: 10}}, Options{
 		Clock: clockwork.NewFakeClock(), Log: event.New(io.Discard, slog.LevelError, "entry"),
 		Dial: func(context.Context, string, string) (net.Conn, error) {
 			near, other := net.Pipe()
@@ -45,6 +48,7 @@
 			},
 		},
 	})
+	w.nudge = func() {}
 	return w, func() net.Conn { return far }
 }
 
@@ -70,6 +74,51 @@
 		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "a request that may run once would be lost on it")
 		Expect(w.fleet.Usable("desk")).To(HaveLen(1))
 	})
+	It("adopts the new name of an engine that has just started anew, whether the store answers or not", func() {
+		w, _ := newTestWorld()
+		w.changed(registered("a", 1))
+		w.storeAnswered()
+		w.fleet.Proved("a", w.clock.Now())
+		u, _ := w.fleet.Get("a")
+		w.adopt(u, "b")
+		Expect(w.fleet.Usable("desk")).To(HaveLen(1), "a store that is just about to fall silent would leave none")
+		Expect(w.fleet.Usable("desk")[0].ID).To(Equal(ids.VM("b")))
+	})
+	It("keeps no connection to an upstream that another router has lost", func() {
+		w, far := newTestWorld()
+		w.changed(registered("a", 1))
+		conn, err := w.pool.Dial(context.Background(), upstreamAddress)
+		Expect(err).NotTo(HaveOccurred())
+		w.pool.Keep(conn)
+		Expect(far().SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		w.doubt("a", 0)
+		_, err = far().Read(make([]byte, 1))
+		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "a call that may run once would be lost on it")
+	})
+	It("failure domain restarted under long generations: one whose run found another engine there goes to another domain", func() {
+		w, _ := newTestWorld()
+		w.decode.Upstream = func(key string, _ []byte) (fleet.Entry, error) {
+			id := ids.VM(strings.TrimPrefix(key, "upstreams/"))
+			return fleet.Entry{ID: id, Service: "engines", Address: string(id), Domain: ids.FailureDomain(id[:1]), Slots: 6}, nil
+		}
+		for i, id := range []string{"n1", "n2", "n3", "s1"} {
+			w.changed(registered(id, store.Revision(i+1)))
+		}
+		w.picker.Domain = "n"
+		s := &stream{
+			exchange: &exchange{edge: &edge{world: w}, service: routing.Service{Name: "engines"}}, model: placing.DefaultModel,
+			tried: map[ids.VM]bool{}, failedAt: map[ids.VM]bool{}, lostIn: map[ids.FailureDomain]bool{},
+		}
+		s.r = httptest.NewRequest(http.MethodPost, "/", nil)
+		r, err := s.place()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.at.Domain).To(Equal(ids.FailureDomain("n")))
+		s.unplace(r)
+		s.afterRun(r, errMoved)
+		r, err = s.place()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.at.Domain).To(Equal(ids.FailureDomain("s")), "each engine of the domain would refuse it in turn")
+	})
 	It("knows the upstreams before the configuration that names their services is in force", func() {
 		w, _ := newTestWorld()
 		w.decode.Config = func([]byte) (*routing.Config, error) {
