Copies that routers order count in the ledger

The test of ten copies after the loss of a failure domain: three at most at one engine, five without.

--- a/core/placing/placing_test.go
+++ b/core/placing/placing_test.go
@@ -133,6 +133,28 @@
 			}
 		})
 	})
+	It("failure domain lost with the copies of many generations: the new copies are spread over the other engines", func() {
+		copies := func(note bool) int {
+			p := picker("r")
+			list := engines(9)
+			hosts := map[ids.VM]int{}
+			worst := 0
+			for i := range 10 {
+				at := list[1+3*(i%3)]
+				ticket := p.Place(at.ID, prompt, "e0")
+				c, ok := p.PickCopy(list[2:], at, prompt, placing.DefaultModel, start)
+				Expect(ok).To(BeTrue())
+				if note {
+					ticket.CopyTo(c.ID)
+				}
+				hosts[c.ID]++
+				worst = max(worst, hosts[c.ID])
+			}
+			return worst
+		}
+		Expect(copies(true)).To(BeNumerically("<=", 3))
+		Expect(copies(false)).To(BeNumerically(">=", 5), "baseline: only the first copies are noted")
+	})
 	It("tickets leave nothing behind", func() {
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
 			p := picker("r")
@@ -142,7 +164,9 @@
 					if rapid.Bool().Draw(t, "read") {
 						open[0].Read()
 					}
+					open[0].CopyTo(ids.VM(rapid.SampledFrom([]string{"", "c", "d"}).Draw(t, "copy")))
 					open[0].End()
+					open[0].CopyTo("c")
 					open = open[1:]
 					continue
 				}
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -129,7 +129,12 @@
 		}
 	}
 	list, byID := c.s.hosts(map[ids.VM]bool{}, now)
-	return c.s.copyHost(c.r, list, byID, now)
+	u, ok := c.s.copyHost(c.r, list, byID, now)
+	if ok {
+		c.r.ticket.CopyTo(u.ID)
+		c.s.nudge()
+	}
+	return u, ok
 }
 
 func (c *copier) call(ctx context.Context, to fleet.Upstream) (string, error) {
