Copies of different routers are spread over the engines

Cause: the share of a copy's cost that is each router's own was divided by its whole range, so it was 0 or 1 token. Routers that lost the same failure domain chose the same engines in the same order.

Before, after: 24 copies of four routers without news: 6 of 12 engines used, 10 or more now (test).

--- a/core/placing/pick.go
+++ b/core/placing/pick.go
@@ -85,7 +85,8 @@
 		if !m.Fits(w, n.Tokens()) {
 			continue
 		}
-		memory := w.Memory + w.Running*n.Tokens() + int(p.bias(c)/spread)
+		// Up to one copy's memory, so that routers with equal knowledge choose different engines.
+		memory := w.Memory + w.Running*n.Tokens() + int(p.draw(c.ID, uint64(n.Tokens())))
 		if c.Suspect {
 			memory += m.MemoryTokens * (1 + m.Slots)
 		}
@@ -97,7 +98,7 @@
 }
 
 func (p Picker) bias(c Candidate) time.Duration {
-	cost := time.Duration(xxhash.Sum64String(string(p.Router)+"/"+string(c.ID)) % uint64(spread))
+	cost := time.Duration(p.draw(c.ID, uint64(spread)))
 	if c.Domain != p.Domain {
 		cost += remoteCost
 	}
@@ -106,3 +107,8 @@
 	}
 	return cost
 }
+
+// draw returns a number below n that is the router's own for an engine.
+func (p Picker) draw(engine ids.VM, n uint64) uint64 {
+	return xxhash.Sum64String(string(p.Router)+"/"+string(engine)) % max(1, n)
+}
--- a/core/placing/placing_test.go
+++ b/core/placing/placing_test.go
@@ -155,6 +155,28 @@
 		Expect(copies(true)).To(BeNumerically("<=", 3))
 		Expect(copies(false)).To(BeNumerically(">=", 5), "baseline: only the first copies are noted")
 	})
+	It("failure domain lost at all routers at once: routers that cannot have heard of each other spread the new copies", func() {
+		list := engines(36)
+		hosts := map[ids.VM]int{}
+		for r := range 4 {
+			p := picker(fmt.Sprintf("r%d", r))
+			for i := range 6 {
+				at := list[1+3*i]
+				ticket := p.Place(at.ID, prompt, "")
+				var left []placing.Candidate
+				for _, c := range list {
+					if c.Domain == "2" {
+						left = append(left, c)
+					}
+				}
+				c, ok := p.PickCopy(left, at, prompt, placing.DefaultModel, start)
+				Expect(ok).To(BeTrue())
+				ticket.CopyTo(c.ID)
+				hosts[c.ID]++
+			}
+		}
+		Expect(len(hosts)).To(BeNumerically(">=", 10), "24 copies, 12 engines; 6 hosts in the same order at all routers")
+	})
 	It("tickets leave nothing behind", func() {
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
 			p := picker("r")
