Prompts leave engines that hang or are known to be slow, and all routers keep away from those

Now a prompt whose first event is long overdue begins elsewhere, and one at an engine that is known to be slow, while another is still in time. Signs of a slow engine are prompts that had to leave it and the pace of runs beside which nothing is read; they fade, and are told to the other routers.

--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -12,6 +12,7 @@
 package placing
 
 import (
+	"math"
 	"time"
 
 	"bilberrylug.dev/core/ids"
@@ -38,25 +39,31 @@
 	own   map[ids.VM]Work
 	peers map[ids.VM]news
 	// slowness is the measured time to the first event against the predicted one.
-	slowness map[ids.VM]float64
+	slowness map[ids.VM]measure
+}
+
+type measure struct {
+	ratio float64
+	at    time.Time
 }
 
 type news struct {
 	at   time.Time
 	work map[ids.VM]Work
+	slow map[ids.VM]float64
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{own: map[ids.VM]Work{}, peers: map[ids.VM]news{}, slowness: map[ids.VM]float64{}}
+	return &Ledger{own: map[ids.VM]Work{}, peers: map[ids.VM]news{}, slowness: map[ids.VM]measure{}}
 }
 
 // Own returns the work that this router has under way.
 func (l *Ledger) Own() map[ids.VM]Work { return l.own }
 
-// Peer takes another router's word on all its work.
-func (l *Ledger) Peer(router ids.VM, work map[ids.VM]Work, now time.Time) {
-	l.peers[router] = news{at: now, work: work}
+// Peer takes another router's word on all its work and on the engines that it has found slow.
+func (l *Ledger) Peer(router ids.VM, work map[ids.VM]Work, slow map[ids.VM]float64, now time.Time) {
+	l.peers[router] = news{at: now, work: work, slow: slow}
 }
 
 // ForgetPeer drops the work of a router that has ended.
@@ -73,24 +80,61 @@
 	return sum
 }
 
-// Slowness returns how long work takes at an engine against the usual.
-func (l *Ledger) Slowness(id ids.VM) float64 {
-	if s, known := l.slowness[id]; known {
-		return s
+// Slowness returns how long work takes at an engine against the usual, as this router or another has found.
+func (l *Ledger) Slowness(id ids.VM, now time.Time) float64 {
+	slowness := l.measured(id, now)
+	for _, n := range l.peers {
+		if now.Sub(n.at) <= newsLifetime {
+			slowness = max(slowness, n.slow[id])
+		}
+	}
+	return slowness
+}
+
+// SlowOnes returns the engines that this router has found slow.
+func (l *Ledger) SlowOnes(now time.Time) map[ids.VM]float64 {
+	out := map[ids.VM]float64{}
+	for id := range l.slowness {
+		if s := l.measured(id, now); s >= slowSign {
+			out[id] = s
+		}
+	}
+	return out
+}
+
+// own1 is what this router has measured itself. It fades, so that an engine that is no longer slow gets work again.
+func (l *Ledger) measured(id ids.VM, now time.Time) float64 {
+	s, known := l.slowness[id]
+	if !known {
+		return 1
 	}
-	return 1
+	return 1 + (s.ratio-1)*math.Exp(-float64(now.Sub(s.at))/float64(slownessLife))
 }
 
-// slownessWeight is the weight of a new measure in the running mean; a neighbour's load lasts for some requests.
-const slownessWeight = 0.3
+const (
+	// slownessWeight is the weight of a new measure in the running mean; a neighbour's load lasts for some requests.
+	slownessWeight = 0.3
+	// slownessLife is the time in which a measure fades to a third; troubles of engines last some seconds.
+	slownessLife = 6 * time.Second
+	// maxSlowness bounds what one measure says.
+	maxSlowness = 8
+)
 
 // Measured takes the time that reading a prompt took against the predicted one.
-func (l *Ledger) Measured(id ids.VM, taken, predicted time.Duration) {
+func (l *Ledger) Measured(id ids.VM, taken, predicted time.Duration, now time.Time) {
 	if predicted <= 0 {
 		return
 	}
-	ratio := min(4, max(0.25, float64(taken)/float64(predicted)*l.Slowness(id)))
-	l.slowness[id] = l.Slowness(id)*(1-slownessWeight) + ratio*slownessWeight
+	before := l.measured(id, now)
+	ratio := min(maxSlowness, max(1.0/maxSlowness, float64(taken)/float64(predicted)*before))
+	l.slowness[id] = measure{ratio: before*(1-slownessWeight) + ratio*slownessWeight, at: now}
+}
+
+// Slow takes a sign that an engine is slow at present by at least a factor.
+func (l *Ledger) Slow(id ids.VM, ratio float64, now time.Time) {
+	if ratio = min(maxSlowness, ratio); ratio > l.measured(id, now) {
+		l.slowness[id] = measure{ratio: ratio, at: now}
+	}
 }
 
 // Forget drops what was measured at an engine that is gone.
--- a/core/placing/pace.go
+++ b/core/placing/pace.go
@@ -21,6 +21,14 @@
 	p.usual += time.Duration(paceWeight * float64(each-p.usual))
 }
 
+// Ratio returns a time for a number of output tokens against the usual one, or zero while nothing was measured.
+func (p *Pace) Ratio(taken time.Duration, tokens int) float64 {
+	if p.usual == 0 || tokens <= 0 {
+		return 0
+	}
+	return float64(taken) / float64(p.usual*time.Duration(tokens))
+}
+
 // Expected returns how long a generation takes that is placed now: its prompt is read, then the output follows.
 func (p *Pace) Expected(m Model, n Need) time.Duration {
 	each := p.usual
--- a/core/placing/pick.go
+++ b/core/placing/pick.go
@@ -63,7 +63,7 @@
 	if c.ID == n.Home {
 		prompt = 0
 	}
-	first := m.FirstEvent(w, prompt, p.Slowness(c.ID))
+	first := m.FirstEvent(w, prompt, p.Slowness(c.ID, now))
 	cost := first + time.Duration(w.Running)*runningCost + p.bias(c)
 	if !m.Fits(w, n.Tokens()) {
 		cost += crowdedCost
--- a/core/placing/placing_test.go
+++ b/core/placing/placing_test.go
@@ -49,7 +49,7 @@
 		worst = max(worst, at[c.ID])
 		for j, other := range fleet {
 			if tell && j != i%routers {
-				other.Peer(p.Router, p.Own(), start)
+				other.Peer(p.Router, p.Own(), nil, start)
 			}
 		}
 	}
@@ -95,8 +95,8 @@
 	})
 	It("slow engine: it gets work again as others fill up", func() {
 		p := picker("r")
-		p.Measured("e0", 4*time.Second, 2*time.Second)
-		p.Measured("e0", 4*time.Second, 2*time.Second)
+		p.Measured("e0", 4*time.Second, 2*time.Second, start)
+		p.Measured("e0", 4*time.Second, 2*time.Second, start)
 		got := map[ids.VM]int{}
 		for range 12 {
 			c, _, _ := p.Pick(engines(3), prompt, placing.DefaultModel, start)
@@ -106,11 +106,37 @@
 		Expect(got["e0"]).To(BeNumerically("<", got["e1"]))
 		Expect(got["e0"]).To(BeNumerically(">", 0))
 	})
+	It("engine that a neighbour slows for some seconds: all routers keep prompts from it, and try it again", func() {
+		p, other := picker("r"), picker("other")
+		p.Slow("e0", 5, start)
+		Expect(p.SlowOnes(start)).To(HaveKeyWithValue(ids.VM("e0"), 5.0))
+		other.Peer("r", p.Own(), p.SlowOnes(start), start)
+		Expect(other.SlowOnes(start)).To(BeEmpty(), "a router's word is not told on, or it would never fade")
+		for range 2 {
+			c, _, _ := other.Pick(engines(3), prompt, placing.DefaultModel, start)
+			other.Place(c.ID, prompt, "")
+			Expect(c.ID).NotTo(Equal(ids.VM("e0")))
+		}
+		Expect(p.SlowOnes(start.Add(12 * time.Second))).To(BeEmpty())
+		Expect(p.Slowness("e0", start.Add(time.Minute))).To(BeNumerically("~", 1, 0.01))
+	})
+	DescribeTable("prompts that wait at one of 24 engines while another would read them in 1.4 s",
+		func(elapsed time.Duration, slowness float64, left time.Duration, moves bool) {
+			w := placing.Waiting{Elapsed: elapsed, Predicted: 1400 * time.Millisecond, Slowness: slowness, Left: left}
+			Expect(w.Move(1400 * time.Millisecond)).To(Equal(moves))
+		},
+		Entry("usual engine: stays", time.Second, 1.0, 3500*time.Millisecond, false),
+		Entry("later than usual, nothing known: stays, a second reading would be in vain", 2500*time.Millisecond, 1.0, 2*time.Second, false),
+		Entry("engine five times slower: moves while that is in time", time.Second, 5.0, 3500*time.Millisecond, true),
+		Entry("engine five times slower, too late for another: stays", 3*time.Second, 5.0, 1500*time.Millisecond, false),
+		Entry("engine twice slower, in time all the same: stays", 200*time.Millisecond, 2.0, 4300*time.Millisecond, false),
+		Entry("engine that hangs: moves, also late", 5300*time.Millisecond, 1.0, -800*time.Millisecond, true),
+	)
 	It("caller that comes back after its router was lost: the prompt goes to the engine that has read it", func() {
 		homes := placing.NewHomes()
 		homes.Set(7, "e4", start)
 		p := picker("r")
-		p.Peer("lost", map[ids.VM]placing.Work{"e4": {Unread: 5200, Running: 1}}, start.Add(-3*time.Second))
+		p.Peer("lost", map[ids.VM]placing.Work{"e4": {Unread: 5200, Running: 1}}, nil, start.Add(-3*time.Second))
 		need := prompt
 		need.Home = homes.Get(7, start.Add(5*time.Second))
 		c, _, _ := p.Pick(engines(9), need, placing.DefaultModel, start)
@@ -203,7 +229,7 @@
 	})
 	It("peer that falls silent: its work no longer counts after two seconds", func() {
 		p := picker("r")
-		p.Peer("other", map[ids.VM]placing.Work{"e0": {Running: 5}}, start)
+		p.Peer("other", map[ids.VM]placing.Work{"e0": {Running: 5}}, nil, start)
 		Expect(p.At("e0", start).Running).To(Equal(5))
 		Expect(p.At("e0", start.Add(3*time.Second)).Running).To(BeZero())
 	})
--- a/router/direct/follow.go
+++ b/router/direct/follow.go
@@ -89,6 +89,7 @@
 		if err := s.passEvent(resp, e); err != nil {
 			return err
 		}
+		s.notePace(r)
 	}
 }
 
@@ -164,7 +165,7 @@
 	r.ticket.Read()
 	s.nudge()
 	if r.from.None() {
-		s.picker.Measured(r.at.ID, taken, r.predicted)
+		s.picker.Measured(r.at.ID, taken, r.predicted, now)
 	}
 	if s.delivered == 0 {
 		s.metrics.Histogram("first_event_ms", "service", string(s.service.Name), "workspace", string(s.ws)).
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -66,6 +66,9 @@
 		r.Running = uint32(max(0, work.Running))
 		r.MemoryTokens = uint32(max(0, work.Memory))
 	}
+	for id, slowness := range w.picker.SlowOnes(now) {
+		row(id).SlownessPercent = uint32(100 * slowness)
+	}
 	for id, calls := range w.calls.Own() {
 		row(id).Calls = uint32(calls)
 	}
@@ -91,17 +94,21 @@
 	w := a.world
 	work := make(map[ids.VM]placing.Work, len(n.GetWork()))
 	calls := make(map[ids.VM]int)
+	slow := make(map[ids.VM]float64)
 	for _, r := range n.GetWork() {
 		id := ids.VM(r.GetUpstream())
 		work[id] = placing.Work{Unread: int(r.GetUnreadTokens()), Running: int(r.GetRunning()), Memory: int(r.GetMemoryTokens())}
 		if r.GetCalls() > 0 {
 			calls[id] = int(r.GetCalls())
 		}
+		if p := r.GetSlownessPercent(); p > 0 {
+			slow[id] = float64(p) / 100
+		}
 	}
 	w.mu.Lock()
 	now := w.clock.Now()
 	w.takePresence(n, now)
-	w.picker.Peer(ids.VM(n.GetSender()), work, now)
+	w.picker.Peer(ids.VM(n.GetSender()), work, slow, now)
 	w.calls.Peer(ids.VM(n.GetSender()), calls, now)
 	for _, h := range n.GetHomes() {
 		w.homes.Set(h.GetPrompt(), ids.VM(h.GetUpstream()), now)
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -24,8 +24,13 @@
 	backup    *fleet.Upstream
 	ticket    *placing.Ticket
 	predicted time.Duration
-	began     time.Time
-	silence   silence
+	// slowness is that of the upstream when the run was placed.
+	slowness float64
+	began    time.Time
+	silence  silence
+	// paceFrom and paceAt are the time and the number of events at the last look at the run's pace.
+	paceFrom time.Time
+	paceAt   int
 }
 
 var errNoUpstream = errors.New("no upstream is in use")
@@ -77,7 +82,7 @@
 	}
 	switch {
 	case s.callerGone(), errors.Is(err, errCallerLost):
-	case errors.Is(err, errNotRun), errors.Is(err, errHung):
+	case errors.Is(err, errNotRun), errors.Is(err, errHung), errors.Is(err, errSlow):
 		s.tried[r.at.ID] = true
 	case errors.Is(err, errMoved):
 		// Its neighbours may have started anew with it.
@@ -130,6 +135,7 @@
 	if u, ok := s.copyHost(r, list, byID, now); ok {
 		r.backup = &u
 	}
+	r.slowness = s.picker.Slowness(r.at.ID, now)
 	r.ticket = s.picker.Place(r.at.ID, need, r.copyID())
 	s.placedPrompt(s.req.Prompt.Name, r.at.ID)
 	s.nudge()
--- a/router/direct/silence.go
+++ b/router/direct/silence.go
@@ -77,13 +77,18 @@
 	if dead && quiet > 0 {
 		return 0, errDead
 	}
+	if !s.route.Repeatable() {
+		return probeAgain, nil
+	}
+	if r.silence.events == 0 {
+		if err := s.awaitFirst(r); err != nil {
+			return 0, err
+		}
+	}
 	limit := r.silence.limit(suspect)
 	if quiet < limit {
 		return limit - quiet, nil
 	}
-	if !s.route.Repeatable() {
-		return probeAgain, nil
-	}
 	if !s.probes.alive(r.at) {
 		r.silence.unanswered++
 		// Before the first event there is time for a second probe, and a prompt that is read elsewhere is costly.
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -30,6 +30,9 @@
 	firstAfter time.Duration
 	lastAt     time.Time
 	tried      map[ids.VM]bool
+	// moves counts the runs that were ended since their engine was slow; granted tells that the next repeat is allowed.
+	moves   int
+	granted bool
 	// failed is the last answer by which an upstream failed the request.
 	failed *answer
 
@@ -90,9 +93,10 @@
 	if s.refusals >= notRunAttempts || s.attempts-s.refusals >= s.route.MaxAttempts {
 		return fault.Wrap(exhausted, err, "after %d attempts", s.attempts)
 	}
-	if s.attempts > 0 && !s.takeRepeat(s.service.Name) {
+	if s.attempts > 0 && !s.granted && !s.takeRepeat(s.service.Name) {
 		return fault.Wrap(exhausted, err, "no repeat is allowed now")
 	}
+	s.granted = false
 	return nil
 }
 
