Upstreams that fail what they are given get little, at all routers

An engine that lives and fails a run before its first event counts as three times slower, and twice more with each further one; signs fade and are told to the other routers. An upstream that fails three calls in a row is kept out for three seconds, also by the routers that are told.

--- a/core/placing/calls.go
+++ b/core/placing/calls.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"slices"
 	"time"
 
 	"bilberrylug.dev/core/ids"
@@ -17,6 +18,7 @@
 
 // Calls chooses upstreams for short calls: the one with the least work for its speed. It is not safe for concurrent use.
 type Calls struct {
+	*Failures
 	domain ids.FailureDomain
 	own    map[ids.VM]int
 	peers  map[ids.VM]callNews
@@ -26,6 +28,8 @@
 type callNews struct {
 	at    time.Time
 	calls map[ids.VM]int
+	// failing are the upstreams that the router keeps calls from.
+	failing []ids.VM
 }
 
 type callReport struct {
@@ -38,15 +42,15 @@
 
 // NewCalls returns a chooser for a router of the given failure domain.
 func NewCalls(domain ids.FailureDomain) *Calls {
-	return &Calls{domain: domain, own: map[ids.VM]int{}, peers: map[ids.VM]callNews{}, report: map[ids.VM]callReport{}}
+	return &Calls{Failures: &Failures{streaks: map[ids.VM]streak{}}, domain: domain, own: map[ids.VM]int{}, peers: map[ids.VM]callNews{}, report: map[ids.VM]callReport{}}
 }
 
 // Own returns the calls that this router has under way.
 func (c *Calls) Own() map[ids.VM]int { return c.own }
 
-// Peer takes another router's word on all its calls.
-func (c *Calls) Peer(router ids.VM, calls map[ids.VM]int, now time.Time) {
-	c.peers[router] = callNews{at: now, calls: calls}
+// Peer takes another router's word on all its calls and on the upstreams that fail them.
+func (c *Calls) Peer(router ids.VM, calls map[ids.VM]int, failing []ids.VM, now time.Time) {
+	c.peers[router] = callNews{at: now, calls: calls, failing: failing}
 }
 
 // Start notes a call; End that it is over.
@@ -65,8 +69,11 @@
 	c.report[id] = callReport{at: now, busy: busy, slowness: slowness, ownThen: c.own[id]}
 }
 
-// Forget drops what an upstream that is gone has reported.
-func (c *Calls) Forget(id ids.VM) { delete(c.report, id) }
+// Forget drops what an upstream that is gone has reported, and its failures.
+func (c *Calls) Forget(id ids.VM) {
+	delete(c.report, id)
+	delete(c.streaks, id)
+}
 
 // Pick returns the candidate with the least work for its slots and speed.
 func (c *Calls) Pick(list []Candidate, slots map[ids.VM]int, now time.Time) (Candidate, bool) {
@@ -101,8 +108,21 @@
 	if u.Domain != c.domain {
 		cost += remoteCall
 	}
-	if u.Suspect {
+	if u.Suspect || c.keptOut(u.ID, now) {
 		cost += suspectCall
 	}
 	return cost
 }
+
+// keptOut tells whether this router or another keeps calls from an upstream that fails them.
+func (c *Calls) keptOut(id ids.VM, now time.Time) bool {
+	if c.failing(id, now) {
+		return true
+	}
+	for _, n := range c.peers {
+		if now.Sub(n.at) < reportLifetime && slices.Contains(n.failing, id) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/placing/failures.go
@@ -0,0 +1,51 @@
+package placing
+
+import (
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+const (
+	// failStreak is the number of failures in a row after which an upstream is kept out: some requests fail by themselves, three
+	// in a row hardly.
+	failStreak = 3
+	// failTime is how long it is kept out before it is tried again.
+	failTime = 3 * time.Second
+)
+
+// Failures notes the upstreams that fail one request after the other, though they live and may call themselves well. It is not
+// safe for concurrent use.
+type Failures struct {
+	streaks map[ids.VM]streak
+}
+
+type streak struct {
+	failures int
+	at       time.Time
+}
+
+// Note takes the outcome of a request that an upstream has run or may have run.
+func (f *Failures) Note(id ids.VM, failed bool, now time.Time) {
+	if !failed {
+		delete(f.streaks, id)
+		return
+	}
+	f.streaks[id] = streak{failures: f.streaks[id].failures + 1, at: now}
+}
+
+// Failing returns the upstreams that are better not tried at present.
+func (f *Failures) Failing(now time.Time) []ids.VM {
+	var out []ids.VM
+	for id := range f.streaks {
+		if f.failing(id, now) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (f *Failures) failing(id ids.VM, now time.Time) bool {
+	s := f.streaks[id]
+	return s.failures >= failStreak && now.Sub(s.at) < failTime
+}
--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -130,6 +130,13 @@
 	l.slowness[id] = measure{ratio: before*(1-slownessWeight) + ratio*slownessWeight, at: now}
 }
 
+// failSign is the slowness that the first failure of a living engine counts as; each further one doubles it. Engines that
+// crash are noticed otherwise.
+const failSign = 3
+
+// Failed notes that an engine that lives has failed a generation before its first event.
+func (l *Ledger) Failed(id ids.VM, now time.Time) { l.Slow(id, max(failSign, 2*l.measured(id, now)), now) }
+
 // Slow takes a sign that an engine is slow at present by at least a factor.
 func (l *Ledger) Slow(id ids.VM, ratio float64, now time.Time) {
 	if ratio = min(maxSlowness, ratio); ratio > l.measured(id, now) {
--- a/core/placing/placing_test.go
+++ b/core/placing/placing_test.go
@@ -132,6 +132,27 @@
 		Entry("engine twice slower, in time all the same: stays", 200*time.Millisecond, 2.0, 4300*time.Millisecond, false),
 		Entry("engine that hangs: moves, also late", 5300*time.Millisecond, 1.0, -800*time.Millisecond, true),
 	)
+	It("engines that fail all prompts though they call themselves well: they are idle, and get few all the same", func() {
+		play := func(note bool) int {
+			p := picker("r")
+			failed := 0
+			for i := range 60 {
+				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+				c, _, _ := p.Pick(engines(24), prompt, placing.DefaultModel, now)
+				if c.ID >= "e6" {
+					failed++
+					if note {
+						p.Failed(c.ID, now)
+					}
+					continue
+				}
+				p.Place(c.ID, prompt, "").Read()
+			}
+			return failed
+		}
+		Expect(play(true)).To(BeNumerically("<=", 12))
+		Expect(play(false)).To(BeNumerically(">=", 50), "baseline: they always look idle")
+	})
 	It("caller that comes back after its router was lost: the prompt goes to the engine that has read it", func() {
 		homes := placing.NewHomes()
 		homes.Set(7, "e4", start)
@@ -259,8 +280,45 @@
 	})
 	It("other routers' calls count until the upstream itself reports", func() {
 		c := placing.NewCalls("0")
-		c.Peer("other", map[ids.VM]int{"e0": 6}, start)
+		c.Peer("other", map[ids.VM]int{"e0": 6}, nil, start)
 		u, _ := c.Pick(engines(3), slots, start)
 		Expect(u.ID).NotTo(Equal(ids.VM("e0")))
 	})
+	It("upstream that fails all calls though it calls itself well: routers keep calls from it, and try it again later", func() {
+		// play sends ten calls a second to three upstreams for ten seconds, by two routers, and returns those that e0 fails.
+		play := func(note, tell bool) int {
+			routers := []*placing.Calls{placing.NewCalls("0"), placing.NewCalls("0")}
+			failed := 0
+			for i := range 100 {
+				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+				c := routers[i%2]
+				u, _ := c.Pick(engines(3), slots, now)
+				fails := u.ID == "e0"
+				if fails {
+					failed++
+				}
+				if note {
+					c.Note(u.ID, fails, now)
+				}
+				if tell {
+					routers[1-i%2].Peer("other", nil, c.Failing(now), now)
+				}
+			}
+			return failed
+		}
+		Expect(play(false, false)).To(Equal(100), "baseline: the own failure domain's looks idle")
+		Expect(play(true, false)).To(BeNumerically("<=", 12))
+		Expect(play(true, true)).To(BeNumerically("<=", 9))
+	})
+	It("lookups of which one in seven fails by itself: upstreams stay in use", func() {
+		rng := rand.New(rand.NewPCG(3, 4))
+		c := placing.NewCalls("0")
+		kept := 0
+		for i := range 2000 {
+			now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+			c.Note(ids.VM(fmt.Sprintf("e%d", i%3)), rng.Float64() < 0.14, now)
+			kept += len(c.Failing(now))
+		}
+		Expect(kept).To(BeNumerically("<", 60), "of 6,000")
+	})
 })
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -215,10 +215,10 @@
 	a, err := x.exchangeCall(ctx, conn, u)
 	if err != nil {
 		conn.Close()
-		x.noteCallError(u, err)
 	} else if stop() {
 		conn.Done()
 	}
+	x.noteOutcome(u, a, err)
 	x.logAttemptEnd(u.ID, err)
 	return a, err
 }
@@ -273,12 +273,17 @@
 	return &answer{resp, body}, nil
 }
 
-// noteCallError draws a conclusion on the upstream from a failed exchange.
-func (x *exchange) noteCallError(u fleet.Upstream, err error) {
+// noteOutcome draws a conclusion on the upstream from an exchange.
+func (x *exchange) noteOutcome(u fleet.Upstream, a *answer, err error) {
 	if errors.Is(err, errNotRun) || errors.Is(err, errMoved) || x.callerGone() {
 		return
 	}
-	x.probes.check(u)
+	x.mu.Lock()
+	x.calls.Note(u.ID, err != nil || a.resp.StatusCode >= http.StatusInternalServerError, x.clock.Now())
+	x.mu.Unlock()
+	if err != nil {
+		x.probes.check(u)
+	}
 }
 
 func cause(ctx context.Context, err error) error {
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -69,6 +69,9 @@
 	for id, slowness := range w.picker.SlowOnes(now) {
 		row(id).SlownessPercent = uint32(100 * slowness)
 	}
+	for _, id := range w.calls.Failing(now) {
+		row(id).Failing = true
+	}
 	for id, calls := range w.calls.Own() {
 		row(id).Calls = uint32(calls)
 	}
@@ -95,12 +98,16 @@
 	work := make(map[ids.VM]placing.Work, len(n.GetWork()))
 	calls := make(map[ids.VM]int)
 	slow := make(map[ids.VM]float64)
+	var failing []ids.VM
 	for _, r := range n.GetWork() {
 		id := ids.VM(r.GetUpstream())
 		work[id] = placing.Work{Unread: int(r.GetUnreadTokens()), Running: int(r.GetRunning()), Memory: int(r.GetMemoryTokens())}
 		if r.GetCalls() > 0 {
 			calls[id] = int(r.GetCalls())
 		}
+		if r.GetFailing() {
+			failing = append(failing, id)
+		}
 		if p := r.GetSlownessPercent(); p > 0 {
 			slow[id] = float64(p) / 100
 		}
@@ -109,7 +116,7 @@
 	now := w.clock.Now()
 	w.takePresence(n, now)
 	w.picker.Peer(ids.VM(n.GetSender()), work, slow, now)
-	w.calls.Peer(ids.VM(n.GetSender()), calls, now)
+	w.calls.Peer(ids.VM(n.GetSender()), calls, failing, now)
 	for _, h := range n.GetHomes() {
 		w.homes.Set(h.GetPrompt(), ids.VM(h.GetUpstream()), now)
 	}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -95,9 +95,20 @@
 	default:
 		// The upstream lives and keeps the prompt, so it may be chosen once more.
 		s.failedAt[r.at.ID] = true
+		s.noteFailure(r)
 	}
 }
 
+// noteFailure notes an upstream that failed a run before its first event though it lives.
+func (s *stream) noteFailure(r *run) {
+	if r.silence.events > 0 {
+		return
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	s.picker.Failed(r.at.ID, s.clock.Now())
+}
+
 // leave keeps the next runs and copies away from an upstream and its failure domain.
 func (s *stream) leave(r *run, err error) {
 	s.tried[r.at.ID] = true
