A router that gets its turn late sends its callers to others

A router measures how late it gets its turn. From 30 ms on it is not ready and has callers open new connections, until it is below 10 ms again.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -13,6 +13,8 @@
 	Ready             = Kind{"EV1004", slog.LevelInfo, "process is ready", noAction}
 	Reloaded          = Kind{"EV1005", slog.LevelInfo, "settings read again", noAction}
 	LinesDropped      = Kind{"EV1006", slog.LevelWarn, "log lines dropped", "Raise log_level, or read the output faster."}
+	Slowed            = Kind{"EV1007", slog.LevelWarn, "process gets its turn late", "Look for other work on the VM; callers are sent to other routers."}
+	Quickened         = Kind{"EV1008", slog.LevelInfo, "process gets its turn in time again", noAction}
 	ConfigInForce     = Kind{"EV2001", slog.LevelInfo, "configuration in force", noAction}
 	ConfigUnreadable  = Kind{"EV2002", slog.LevelError, "configuration could not be read", "Check the chunks of the named revision; the former revision stays in force."}
 	StoreFailed       = Kind{"EV2003", slog.LevelWarn, "platform's service did not answer", "Check the platform's service; serving goes on without it."}
@@ -50,7 +52,7 @@
 
 // Catalogue lists every event in the order of its number.
 var Catalogue = []Kind{
-	Started, Stopping, Stopped, Ready, Reloaded, LinesDropped,
+	Started, Stopping, Stopped, Ready, Reloaded, LinesDropped, Slowed, Quickened,
 	ConfigInForce, ConfigUnreadable, StoreFailed, StoreReached,
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamFound, PeerChanged,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -135,7 +135,9 @@
 const failSign = 3
 
 // Failed notes that an engine that lives has failed a generation before its first event.
-func (l *Ledger) Failed(id ids.VM, now time.Time) { l.Slow(id, max(failSign, 2*l.measured(id, now)), now) }
+func (l *Ledger) Failed(id ids.VM, now time.Time) {
+	l.Slow(id, max(failSign, 2*l.measured(id, now)), now)
+}
 
 // Slow takes a sign that an engine is slow at present by at least a factor.
 func (l *Ledger) Slow(id ids.VM, ratio float64, now time.Time) {
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -78,6 +78,7 @@
 	dialer   *link.Dialer
 	group    *group.Group
 	stop     *stopper
+	lag      *lagMeter
 }
 
 // New puts a router together.
@@ -90,8 +91,8 @@
 	g := group.New(context.Background())
 	stop := &stopper{clock: o.Clock}
 	stop.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
-	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop}
-	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop, learnt: make(chan struct{})}
+	a := &App{dialer: dialer, cfg: cfg, o: o, world: w, group: g, stop: stop, lag: &lagMeter{clock: o.Clock, log: o.Log}}
+	a.edge = &edge{world: w, dialect: o.Dialect, probes: &prober{world: w, group: g, checked: map[ids.VM]time.Time{}}, stop: stop, lag: a.lag, learnt: make(chan struct{})}
 	a.edge.probes.returned = a.edge.returned
 	a.follower = mirror.NewFollower(mirror.Options{
 		Store: o.Store, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, Changed: w.changed, Answered: w.storeAnswered,
@@ -141,6 +142,7 @@
 	a.group.Go(a.keepEntry)
 	a.group.Go(a.edge.learnPrompts)
 	a.group.Go(a.edge.probes.run)
+	a.group.Go(a.lag.run)
 	a.group.Go(func(ctx context.Context) { group.Every(ctx, a.o.Clock, expireInterval, a.tidy) })
 	a.o.Log.Write(event.Started, "callers", a.cfg.Callers, "region", a.cfg.Region, "failure_domain", a.cfg.FailureDomain)
 	select {
@@ -191,7 +193,7 @@
 
 // ready tells that callers can be served as well as the router will be able to.
 func (a *App) ready() bool {
-	if a.stop.stopping() || a.world.config.Load() == nil {
+	if a.stop.stopping() || a.lag.high.Load() || a.world.config.Load() == nil {
 		return false
 	}
 	select {
--- a/router/direct/edge.go
+++ b/router/direct/edge.go
@@ -47,6 +47,7 @@
 	dialect relay.Dialect
 	probes  *prober
 	stop    *stopper
+	lag     *lagMeter
 	// learnt is closed once the engines have been asked for their prompts.
 	learnt chan struct{}
 }
@@ -56,7 +57,7 @@
 	x := &exchange{edge: e, w: w, r: r, began: e.clock.Now()}
 	e.stop.enter()
 	defer e.stop.leave()
-	if e.stop.stopping() {
+	if e.stop.stopping() || e.lag.high.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := x.admit(); err != nil {
