Generations stay in the own failure domain while its engines are free

An engine of another domain now counts 100 ms, was 20 ms: four in a row of the own ones' running generations.

--- a/core/placing/pick.go
+++ b/core/placing/pick.go
@@ -11,8 +11,9 @@
 const (
 	// runningCost is what one more running generation costs: its step grows for all, and a loss hits more callers.
 	runningCost = 25 * time.Millisecond
-	// remoteCost prefers the own failure domain among equals.
-	remoteCost = 20 * time.Millisecond
+	// remoteCost prefers the own failure domain: a packet that is lost between domains holds up a stream's events for 200 ms, and
+	// another prompt before one's own costs more than a second.
+	remoteCost = 100 * time.Millisecond
 	// spread keeps routers with equal knowledge from choosing the same engine at once.
 	spread = 40 * time.Millisecond
 	// crowdedCost puts engines without room behind all others.
--- a/core/placing/placing_test.go
+++ b/core/placing/placing_test.go
@@ -153,6 +153,16 @@
 		Expect(play(true)).To(BeNumerically("<=", 12))
 		Expect(play(false)).To(BeNumerically(">=", 50), "baseline: they always look idle")
 	})
+	It("calm load beside links that may lose packets: the own failure domain's engines, unless others are free and these are not", func() {
+		p := picker("r")
+		for range 8 {
+			c, _, _ := p.Pick(engines(24), prompt, placing.DefaultModel, start)
+			Expect(c.Domain).To(Equal(p.Domain))
+			p.Place(c.ID, prompt, "")
+		}
+		c, _, _ := p.Pick(engines(24), prompt, placing.DefaultModel, start)
+		Expect(c.Domain).NotTo(Equal(p.Domain))
+	})
 	It("caller that comes back after its router was lost: the prompt goes to the engine that has read it", func() {
 		homes := placing.NewHomes()
 		homes.Set(7, "e4", start)
