--- a/core/placing/homes.go
+++ b/core/placing/homes.go
@@ -24,9 +24,12 @@
 // NewHomes returns an empty memory.
 func NewHomes() *Homes { return &Homes{by: map[uint64]home{}} }
 
-// Set notes that a prompt, given by its hash, is being read at an engine.
-func (h *Homes) Set(prompt uint64, at ids.VM, now time.Time) {
-	h.by[prompt] = home{at: at, placed: now}
+// Set notes that a prompt, given by its hash, was placed at an engine, unless it was placed elsewhere later.
+func (h *Homes) Set(prompt uint64, at ids.VM, placed, now time.Time) {
+	if placed.Before(h.by[prompt].placed) {
+		return
+	}
+	h.by[prompt] = home{at: at, placed: placed}
 	if now.Sub(h.swept) < homeLife {
 		return
 	}
@@ -38,6 +41,15 @@
 	}
 }
 
+// Each calls f for each prompt whose engine is known, with the time since it was placed there.
+func (h *Homes) Each(now time.Time, f func(prompt uint64, at ids.VM, age time.Duration)) {
+	for prompt, known := range h.by {
+		if age := now.Sub(known.placed); age <= homeLife {
+			f(prompt, known.at, age)
+		}
+	}
+}
+
 // Get returns the engine at which a prompt was last read, or the empty id.
 func (h *Homes) Get(prompt uint64, now time.Time) ids.VM {
 	known, found := h.by[prompt]
--- a/core/placing/placing_test.go
+++ b/core/placing/placing_test.go
@@ -165,7 +165,7 @@
 	})
 	It("caller that comes back after its router was lost: the prompt goes to the engine that has read it", func() {
 		homes := placing.NewHomes()
-		homes.Set(7, "e4", start)
+		homes.Set(7, "e4", start, start)
 		p := picker("r")
 		p.Peer("lost", map[ids.VM]placing.Work{"e4": {Unread: 5200, Running: 1}}, nil, start.Add(-3*time.Second))
 		need := prompt
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -100,7 +100,7 @@
 	})
 	a.teller = neighbour.NewTeller(neighbour.Options{
 		Self: cfg.VM, Seeds: without(cfg.Seeds, cfg.Peers), Dialer: dialer, Clock: o.Clock, Log: o.Log, Group: g, News: a.news, Take: a.takeNews,
-		Serves: w.serves, Merge: a.follower.Merge, Since: a.follower.Since,
+		Homes: w.allHomes, TakeHomes: w.takeHomes, Serves: w.serves, Merge: a.follower.Merge, Since: a.follower.Since,
 	})
 	w.nudge = a.teller.Nudge
 	w.routerChanged = a.routerChanged
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -118,7 +118,7 @@
 	w.picker.Peer(ids.VM(n.GetSender()), work, slow, now)
 	w.calls.Peer(ids.VM(n.GetSender()), calls, failing, now)
 	for _, h := range n.GetHomes() {
-		w.homes.Set(h.GetPrompt(), ids.VM(h.GetUpstream()), now)
+		w.takeHome(h, now)
 	}
 	for _, c := range n.GetCounts() {
 		w.budget.Peer(ids.VM(n.GetSender()), ids.Service(c.GetService()), budget.Counts{Requests: int(c.GetRequests()), Repeats: int(c.GetRepeats())}, now)
@@ -156,10 +156,37 @@
 		return
 	}
 	key := xxhash.Sum64String(name)
-	w.homes.Set(key, at, w.clock.Now())
+	now := w.clock.Now()
+	w.homes.Set(key, at, now, now)
 	w.newHomes = append(w.newHomes, &wire.PromptHome{Prompt: key, Upstream: string(at)})
 }
 
+// takeHome takes another router's word on where a prompt was placed. The caller holds the lock.
+func (w *world) takeHome(h *wire.PromptHome, now time.Time) {
+	w.homes.Set(h.GetPrompt(), ids.VM(h.GetUpstream()), now.Add(-time.Duration(h.GetAgeMs())*time.Millisecond), now)
+}
+
+// allHomes returns all prompts whose engines are known, for a router that has just started.
+func (w *world) allHomes() []*wire.PromptHome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*wire.PromptHome
+	w.homes.Each(w.clock.Now(), func(prompt uint64, at ids.VM, age time.Duration) {
+		out = append(out, &wire.PromptHome{Prompt: prompt, Upstream: string(at), AgeMs: uint32(age.Milliseconds())})
+	})
+	return out
+}
+
+// takeHomes takes all that another router knows of prompts.
+func (w *world) takeHomes(list []*wire.PromptHome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	for _, h := range list {
+		w.takeHome(h, now)
+	}
+}
+
 func (w *world) homeOf(name string) ids.VM {
 	if name == "" {
 		return ""
--- a/router/neighbour/server.go
+++ b/router/neighbour/server.go
@@ -35,5 +35,8 @@
 		reply.Changes = encode(list)
 		reply.Complete = true
 	}
+	if n.GetWantsHomes() {
+		reply.Homes = t.o.Homes()
+	}
 	return reply, nil
 }
--- a/router/neighbour/teller.go
+++ b/router/neighbour/teller.go
@@ -35,6 +35,8 @@
 	tellTime = 400 * time.Millisecond
 	// servedTime is how long a router may lack changes before others than the one that serves it send them.
 	servedTime = 700 * time.Millisecond
+	// homesFrom is the number of routers that one that starts asks for the engines of prompts: each hears of almost all.
+	homesFrom = 2
 	// heardLife is how long a router counts as present after its last word, though the store does not list it.
 	heardLife = 3 * time.Second
 )
@@ -52,6 +54,9 @@
 	News func() *wire.News
 	// Take takes another router's news.
 	Take func(n *wire.News)
+	// Homes returns all prompts whose engines are known, TakeHomes takes those of another router.
+	Homes     func() []*wire.PromptHome
+	TakeHomes func(list []*wire.PromptHome)
 	// Merge takes the changes of the store between two revisions.
 	Merge func(list []store.Change, since, upTo store.Revision)
 	// Serves tells whether this router is the one that sends another the changes of the store.
@@ -74,6 +79,8 @@
 	// known is the store's revision that another router is known to have reached, behind since when it lacks changes.
 	known  map[ids.VM]store.Revision
 	behind map[ids.VM]time.Time
+	// homesAsked counts the routers that were asked for the engines of prompts.
+	homesAsked int
 }
 
 type peer struct {
@@ -175,12 +182,16 @@
 	defer cancel()
 	conn := t.o.Dialer.Conn(address)
 	defer func() { _ = conn.Close() }()
-	reply, err := wire.NewDRPCNeighbourClient(conn).Tell(ctx, t.with(vm, news))
+	sent, wants := t.wanting(t.with(vm, news))
+	reply, err := wire.NewDRPCNeighbourClient(conn).Tell(ctx, sent)
 	t.mu.Lock()
 	if err == nil {
 		t.known[vm] = store.Revision(reply.GetRevision())
 	}
 	t.telling[vm] = false
+	if err != nil && wants {
+		t.homesAsked--
+	}
 	before := t.failed[vm]
 	t.failed[vm] = err != nil
 	t.mu.Unlock()
@@ -193,8 +204,11 @@
 	if before {
 		t.o.Log.Write(event.PeerChanged, "router", vm, "state", "answers again")
 	}
+	if wants {
+		t.o.TakeHomes(reply.GetHomes())
+	}
 	if reply.GetComplete() {
-		t.o.Merge(changes(reply.GetChanges()), store.Revision(news.GetRevision()), store.Revision(reply.GetRevision()))
+		t.o.Merge(changes(reply.GetChanges()), store.Revision(sent.GetRevision()), store.Revision(reply.GetRevision()))
 	}
 }
 
@@ -215,6 +229,19 @@
 	return out
 }
 
+// wanting has the news ask for the engines of prompts while too few routers were asked.
+func (t *Teller) wanting(news *wire.News) (*wire.News, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.homesAsked >= homesFrom {
+		return news, false
+	}
+	t.homesAsked++
+	out := proto.CloneOf(news)
+	out.WantsHomes = true
+	return out, true
+}
+
 // sends tells whether this router sends another the changes that it lacks: it is the one that serves it, or nobody else has
 // done so for a while. The whole configuration to all routers from all routers would fill the smaller links.
 func (t *Teller) sends(vm ids.VM, known, own store.Revision) bool {
