Engines for copies are drawn, and prompts placed among some drawn engines, when there are many routers

Six engines got the new copies of all; they held a part, and at the next loss 22 resumes were refused. Others got the unread prompts of several routers, some waited 5 s and more.

The engine for a copy is drawn, the emptier the likelier. Prompts are placed at the best of four router's shares of the engines, drawn for each: all of them with four routers, 14 of 96 with 26.

--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -15,6 +15,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bilberrylug.dev/core/ids"
 )
 
@@ -26,6 +28,16 @@
 	Output  int
 	// Home is the engine that has read the prompt before, or empty.
 	Home ids.VM
+	// Seed makes the draws among engines differ from one generation to the next.
+	Seed uint64
+}
+
+// draw returns a number between 0 and 1, the generation's own for an engine.
+func (n Need) draw(engine ids.VM) float64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(n.Seed)
+	_, _ = d.WriteString(string(engine))
+	return (float64(d.Sum64()>>11) + 1) / (1 << 53)
 }
 
 // Tokens is the memory that the generation takes up at its end.
--- a/core/placing/pick.go
+++ b/core/placing/pick.go
@@ -1,6 +1,9 @@
 package placing
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +19,10 @@
 	remoteCost = 100 * time.Millisecond
 	// spread keeps routers with equal knowledge from choosing the same engine at once.
 	spread = 40 * time.Millisecond
+	// sampleShares and sampleMin give the number of engines among which a generation's is chosen, in a router's shares of all. The
+	// more routers there are, the older their news of each other, and they would all choose the best of all at once.
+	sampleShares = 4
+	sampleMin    = 8
 	// crowdedCost puts engines without room behind all others.
 	crowdedCost = 10 * time.Second
 	// suspectCost puts engines of a failure domain that is being lost behind others.
@@ -33,6 +40,8 @@
 type Picker struct {
 	Router ids.VM
 	Domain ids.FailureDomain
+	// Routers is the number of routers that place generations.
+	Routers int
 	*Ledger
 }
 
@@ -42,6 +51,7 @@
 	if len(list) == 0 {
 		return Candidate{}, 0, false
 	}
+	list = n.sample(list, max(sampleMin, sampleShares*len(list)/max(1, p.Routers)))
 	best := list[0]
 	expected := p.cost(best, n, m, now)
 	for _, c := range list[1:] {
@@ -52,6 +62,26 @@
 	return best, expected.first, true
 }
 
+// sample draws the engines among which a generation's is chosen, its home included and those that seem to be lost last.
+func (n Need) sample(list []Candidate, size int) []Candidate {
+	if len(list) <= size {
+		return list
+	}
+	key := func(c Candidate) float64 {
+		switch {
+		case c.ID == n.Home:
+			return 0
+		case c.Suspect:
+			return 1 + n.draw(c.ID)
+		default:
+			return n.draw(c.ID)
+		}
+	}
+	drawn := slices.Clone(list)
+	slices.SortFunc(drawn, func(a, b Candidate) int { return cmp.Compare(key(a), key(b)) })
+	return drawn[:size]
+}
+
 // placed is what placing a generation at a candidate is expected to bring.
 type placed struct {
 	cost  time.Duration
@@ -73,10 +103,11 @@
 }
 
 // PickCopy returns the engine that keeps the copy of a generation's memory: one of another failure domain with room, and
-// one that seems to be lost only when there is no other.
+// one that seems to be lost only when there is no other. It draws one, the emptier the likelier: when a failure domain is lost,
+// all routers look for new copies at the same moment, and the emptiest engines could not hold those of all.
 func (p Picker) PickCopy(list []Candidate, at Candidate, n Need, m Model, now time.Time) (Candidate, bool) {
 	var best Candidate
-	bestMemory := 0
+	bestScore := 0.0
 	found := false
 	for _, c := range list {
 		if c.Domain == at.Domain {
@@ -86,13 +117,10 @@
 		if !m.Fits(w, n.Tokens()) {
 			continue
 		}
-		// Up to one copy's memory, so that routers with equal knowledge choose different engines.
-		memory := w.Memory + w.Running*n.Tokens() + int(p.draw(c.ID, uint64(n.Tokens())))
-		if c.Suspect {
-			memory += m.MemoryTokens * (1 + m.Slots)
-		}
-		if !found || memory < bestMemory {
-			best, bestMemory, found = c, memory, true
+		free := float64(m.MemoryTokens - w.Memory)
+		score := -math.Log(n.draw(c.ID)) / (free * free)
+		if better := score < bestScore; !found || c.Suspect == best.Suspect && better || !c.Suspect && best.Suspect {
+			best, bestScore, found = c, score, true
 		}
 	}
 	return best, found
--- a/router/direct/absence.go
+++ b/router/direct/absence.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -76,5 +77,5 @@
 
 // need is the size of the request's generation.
 func (x *exchange) need() placing.Need {
-	return placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput}
+	return placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Seed: rand.Uint64()}
 }
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -80,7 +80,7 @@
 		clock: o.Clock, log: o.Log, metrics: metric.New(), decode: o.Decode,
 		pool:   upstream.NewPool(o.Dial, o.Clock),
 		fleet:  fleet.New(returnTime),
-		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Ledger: placing.NewLedger()},
+		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, Ledger: placing.NewLedger()},
 		gates:  map[ids.Service]*placing.Gate{}, calls: placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
 		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM), reuse: cfg.reuse(),
 		configured: make(chan struct{}), others: stopping.NewFleet(), began: o.Clock.Now(),
@@ -190,6 +190,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.routers = max(minRouters, n)
+	w.picker.Routers = w.routers
 }
 
 // expire drops the upstreams that are gone after an outage.
