One decision on another sending for calls and generations; connections that fail count as refusals

afterCall and stream.after decided the same in two places. A call whose connection fails no longer draws on the budget of repeats: nothing was sent.

Cause of the second part (found on reading): a generation whose connections failed at once counted no attempt, so that it tried engine after engine without a bound while all were down.

--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -63,7 +63,10 @@
 			x.logEnd(0, "outcome", "caller left")
 			return
 		}
-		if final := x.afterCall(err); final != nil {
+		if errors.Is(err, errNotRun) || errors.Is(err, errMoved) {
+			x.refusals++
+		}
+		if final := x.again(err, fault.QueueFull); final != nil {
 			x.endCall(failed, final)
 			return
 		}
@@ -87,23 +90,22 @@
 	return a, u, err
 }
 
-// afterCall decides whether a call that was not answered well is sent again; the fault is its final answer if not.
-func (x *exchange) afterCall(err error) error {
+// again decides whether a request that was not answered well is sent again; the fault is its final answer if not, with the given
+// code when no further sending is allowed.
+func (x *exchange) again(err error, exhausted fault.Code) error {
 	if x.left() < hopelessTime {
 		return x.outOfTime()
 	}
 	if x.mayHaveRun && !x.route.Repeatable() {
 		return fault.Wrap(fault.CallOutcomeUnknown, err, "sent once")
 	}
-	if errors.Is(err, errNotRun) || errors.Is(err, errMoved) {
-		x.refusals++
-	}
 	if x.refusals >= notRunAttempts || x.attempts-x.refusals >= x.route.MaxAttempts {
-		return fault.Wrap(fault.QueueFull, err, "after %d attempts", x.attempts)
+		return fault.Wrap(exhausted, err, "after %d attempts", x.attempts)
 	}
-	if !x.takeRepeat(x.service.Name) {
-		return fault.Wrap(fault.QueueFull, err, "no repeat is allowed now")
+	if x.attempts > 0 && !x.granted && !x.takeRepeat(x.service.Name) {
+		return fault.Wrap(exhausted, err, "no repeat is allowed now")
 	}
+	x.granted = false
 	return nil
 }
 
--- a/router/direct/edge.go
+++ b/router/direct/edge.go
@@ -37,6 +37,8 @@
 	// attempts counts the sendings, refusals those that an upstream said it did not run.
 	attempts int
 	refusals int
+	// granted tells that the next sending has been drawn on the budget of repeats.
+	granted bool
 	// started is set once the caller has been sent a response header.
 	started bool
 }
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -44,6 +44,8 @@
 	defer s.unplace(r)
 	conn, err := s.connect(s.ctx, r.at)
 	if err != nil {
+		s.refusals++
+		s.tried[r.at.ID] = true
 		s.avoid(r.at.Domain)
 		return err
 	}
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -30,9 +30,8 @@
 	firstAfter time.Duration
 	lastAt     time.Time
 	tried      map[ids.VM]bool
-	// moves counts the runs that were ended since their engine was slow; granted tells that the next repeat is allowed.
-	moves   int
-	granted bool
+	// moves counts the runs that were ended since their engine was slow.
+	moves int
 	// failed is the last answer by which an upstream failed the request.
 	failed *answer
 
@@ -77,27 +76,13 @@
 
 // after decides whether a lost generation goes on; the fault is its end if not.
 func (s *stream) after(err error) error {
-	if s.left() < hopelessTime {
-		return s.outOfTime()
-	}
-	if errors.Is(err, errNoUpstream) {
+	if errors.Is(err, errNoUpstream) && s.left() >= hopelessTime {
 		return s.noUpstream()
 	}
-	if s.mayHaveRun && !s.route.Repeatable() {
-		return fault.Wrap(fault.CallOutcomeUnknown, err, "sent once")
-	}
-	exhausted := fault.ResumeExhausted
-	if !s.mayHaveRun {
-		exhausted = fault.QueueFull
-	}
-	if s.refusals >= notRunAttempts || s.attempts-s.refusals >= s.route.MaxAttempts {
-		return fault.Wrap(exhausted, err, "after %d attempts", s.attempts)
-	}
-	if s.attempts > 0 && !s.granted && !s.takeRepeat(s.service.Name) {
-		return fault.Wrap(exhausted, err, "no repeat is allowed now")
+	if s.mayHaveRun {
+		return s.again(err, fault.ResumeExhausted)
 	}
-	s.granted = false
-	return nil
+	return s.again(err, fault.QueueFull)
 }
 
 // end gives the caller the final word on a generation that does not go on.
--- a/router/direct/world_test.go
+++ b/router/direct/world_test.go
@@ -20,8 +20,10 @@
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/placing"
+	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/core/store"
+	"bilberrylug.dev/router/upstream"
 )
 
 const upstreamAddress = "10.0.0.1:80"
@@ -56,6 +58,24 @@
 	return []store.Change{{Item: store.Item{Key: "upstreams/" + id, Modified: at}}}
 }
 
+// refusing is a dialect that only refuses.
+type refusing struct{ relay.Dialect }
+
+// Refuse implements relay.Dialect.
+func (refusing) Refuse(http.Header, relay.Request, time.Duration) {}
+
+// keepConnection puts an idle connection into the pool and returns how to find out whether it has been closed.
+func keepConnection(w *world, far func() net.Conn) func() bool {
+	conn, err := w.pool.Dial(context.Background(), upstreamAddress)
+	Expect(err).NotTo(HaveOccurred())
+	w.pool.Keep(conn)
+	Expect(far().SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+	return func() bool {
+		_, err := far().Read(make([]byte, 1))
+		return errors.Is(err, io.EOF)
+	}
+}
+
 // configured is a change to the configuration of the given version.
 func configured(version int) store.Change {
 	return store.Change{Item: store.Item{Key: "config", Value: make([]byte, version)}}
@@ -65,13 +85,9 @@
 	It("keeps no connection to the upstream that an address had before", func() {
 		w, far := newTestWorld()
 		w.changed(registered("a", 1))
-		conn, err := w.pool.Dial(context.Background(), upstreamAddress)
-		Expect(err).NotTo(HaveOccurred())
-		w.pool.Keep(conn)
-		Expect(far().SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		ended := keepConnection(w, far)
 		w.changed(registered("b", 2))
-		_, err = far().Read(make([]byte, 1))
-		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "a request that may run once would be lost on it")
+		Expect(ended()).To(BeTrue(), "a request that may run once would be lost on it")
 		Expect(w.fleet.Usable("desk")).To(HaveLen(1))
 	})
 	It("adopts the new name of an engine that has just started anew, whether the store answers or not", func() {
@@ -87,13 +103,9 @@
 	It("keeps no connection to an upstream that another router has lost", func() {
 		w, far := newTestWorld()
 		w.changed(registered("a", 1))
-		conn, err := w.pool.Dial(context.Background(), upstreamAddress)
-		Expect(err).NotTo(HaveOccurred())
-		w.pool.Keep(conn)
-		Expect(far().SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		ended := keepConnection(w, far)
 		w.doubt("a", 0)
-		_, err = far().Read(make([]byte, 1))
-		Expect(errors.Is(err, io.EOF)).To(BeTrue(), "a call that may run once would be lost on it")
+		Expect(ended()).To(BeTrue(), "a call that may run once would be lost on it")
 	})
 	It("failure domain restarted under long generations: one whose run found another engine there goes to another domain", func() {
 		w, _ := newTestWorld()
@@ -119,6 +131,24 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.at.Domain).To(Equal(ids.FailureDomain("s")), "each engine of the domain would refuse it in turn")
 	})
+	It("all engines down at once: a generation is refused after a few tries, and told that it has not run", func() {
+		w, _ := newTestWorld()
+		dials := 0
+		w.pool = upstream.NewPool(func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			return nil, errors.New("connection refused")
+		}, w.clock)
+		w.changed(registered("a", 1))
+		answer := httptest.NewRecorder()
+		x := &exchange{
+			edge: &edge{world: w, dialect: refusing{}}, w: answer, r: httptest.NewRequest(http.MethodPost, "/", nil),
+			ctx: context.Background(), service: routing.Service{Name: "desk"},
+			route: routing.Route{Kind: routing.Streaming, Resumable: true, MaxAttempts: 5}, end: w.clock.Now().Add(25 * time.Second),
+		}
+		x.stream()
+		Expect(dials).To(BeNumerically("<=", notRunAttempts))
+		Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
+	})
 	It("knows the upstreams before the configuration that names their services is in force", func() {
 		w, _ := newTestWorld()
 		w.decode.Config = func([]byte) (*routing.Config, error) {
