--- a/core/stopping/fleet.go
+++ b/core/stopping/fleet.go
@@ -9,8 +9,9 @@
 const (
 	// heardLife is how long a router counts as serving after its last word; routers tell something twice a second.
 	heardLife = 1500 * time.Millisecond
-	// RestartTime is how long the platform and the process take from the end of a stopped router to its next start.
-	RestartTime = 700 * time.Millisecond
+	// RestartTime is how long it takes from the end of a stopped router until callers reach it again: some 700 ms to its next
+	// start, and up to a second until the balancer has asked it.
+	RestartTime = 1700 * time.Millisecond
 	// atOnce is when a caller comes back while another router serves: on a new connection, which the balancer gives to it.
 	atOnce = 100 * time.Millisecond
 	// backLife is how long past its announced return a stopped router is still expected.
