Log lines for upstreams that are found slow or failing

Each belief that changes where work goes has its line: EV3009 with the request, the sign and the measured slowness, EV3010 with the request that was the third in a row to fail.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -27,6 +27,8 @@
 	UpstreamLost      = Kind{"EV3006", slog.LevelWarn, "upstream out of use", "None, unless it lasts; it is used again when it registers anew or answers a probe."}
 	UpstreamFound     = Kind{"EV3007", slog.LevelInfo, "upstream answers again", noAction}
 	PeerChanged       = Kind{"EV3008", slog.LevelInfo, "other router changed its state", noAction}
+	UpstreamSlow      = Kind{"EV3009", slog.LevelWarn, "upstream counts as slow", "None, unless it lasts; prompts go to others until the sign fades."}
+	UpstreamFailing   = Kind{"EV3010", slog.LevelWarn, "upstream fails all it is given", "Look at the upstream; it is tried again every few seconds."}
 	AttemptStarted    = Kind{"EV4001", slog.LevelDebug, "attempt started", noAction}
 	AttemptLost       = Kind{"EV4002", slog.LevelWarn, "attempt lost", "Check the named upstream; the answer is resumed elsewhere."}
 	AnswerFailed      = Kind{"EV4003", slog.LevelWarn, "answer ended with a fault", "See the fault's remedy."}
@@ -54,7 +56,7 @@
 var Catalogue = []Kind{
 	Started, Stopping, Stopped, Ready, Reloaded, LinesDropped, Slowed, Quickened,
 	ConfigInForce, ConfigUnreadable, StoreFailed, StoreReached,
-	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamFound, PeerChanged,
+	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamFound, PeerChanged, UpstreamSlow, UpstreamFailing,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
 	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnd, CopyOrdered, CopyFailed, PromptsUnknown,
--- a/core/placing/failures.go
+++ b/core/placing/failures.go
@@ -25,13 +25,15 @@
 	at       time.Time
 }
 
-// Note takes the outcome of a request that an upstream has run or may have run.
-func (f *Failures) Note(id ids.VM, failed bool, now time.Time) {
+// Note takes the outcome of a request that an upstream has run or may have run, and tells whether it is kept out from now on.
+func (f *Failures) Note(id ids.VM, failed bool, now time.Time) bool {
 	if !failed {
 		delete(f.streaks, id)
-		return
+		return false
 	}
-	f.streaks[id] = streak{failures: f.streaks[id].failures + 1, at: now}
+	n := f.streaks[id].failures + 1
+	f.streaks[id] = streak{failures: n, at: now}
+	return n == failStreak
 }
 
 // Failing returns the upstreams that are better not tried at present.
--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -146,16 +146,19 @@
 // crash are noticed otherwise.
 const failSign = 3
 
-// Failed notes that an engine that lives has failed a generation before its first event.
-func (l *Ledger) Failed(id ids.VM, now time.Time) {
-	l.Slow(id, max(failSign, 2*l.measured(id, now)), now)
+// Failed notes that an engine that lives has failed a generation before its first event, and tells whether that is the first
+// sign.
+func (l *Ledger) Failed(id ids.VM, now time.Time) bool {
+	return l.Slow(id, max(failSign, 2*l.measured(id, now)), now)
 }
 
-// Slow takes a sign that an engine is slow at present by at least a factor.
-func (l *Ledger) Slow(id ids.VM, ratio float64, now time.Time) {
-	if ratio = min(maxSlowness, ratio); ratio > l.measured(id, now) {
+// Slow takes a sign that an engine is slow at present by at least a factor, and tells whether it is the first one.
+func (l *Ledger) Slow(id ids.VM, ratio float64, now time.Time) bool {
+	before := l.measured(id, now)
+	if ratio = min(maxSlowness, ratio); ratio > before {
 		l.slowness[id] = measure{ratio: ratio, at: now}
 	}
+	return before < slowSign && ratio >= slowSign
 }
 
 // Forget drops what was measured at an engine that is gone.
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
@@ -281,8 +282,11 @@
 		return
 	}
 	x.mu.Lock()
-	x.calls.Note(u.ID, err != nil || a.resp.StatusCode >= http.StatusInternalServerError, x.clock.Now())
+	kept := x.calls.Note(u.ID, err != nil || a.resp.StatusCode >= http.StatusInternalServerError, x.clock.Now())
 	x.mu.Unlock()
+	if kept {
+		x.log.Write(event.UpstreamFailing, "upstream", u.ID, "request", x.req.ID)
+	}
 	if err != nil {
 		x.probes.check(u)
 	}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/placing"
@@ -108,7 +109,9 @@
 	}
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
-	s.picker.Failed(r.at.ID, s.clock.Now())
+	if s.picker.Failed(r.at.ID, s.clock.Now()) {
+		s.log.Write(event.UpstreamSlow, "upstream", r.at.ID, "request", s.req.ID, "sign", "failed a prompt")
+	}
 }
 
 // leave keeps the next runs and copies away from an upstream and its failure domain.
--- a/router/direct/waiting.go
+++ b/router/direct/waiting.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/placing"
 )
 
@@ -43,7 +44,7 @@
 	if !w.Move(first) || !s.mayMove(now) {
 		return nil
 	}
-	s.picker.Slow(r.at.ID, float64(w.Elapsed)/float64(w.Predicted), now)
+	s.noteSlow(r, "first event is overdue", float64(w.Elapsed)/float64(w.Predicted), now)
 	return errSlow
 }
 
@@ -67,7 +68,14 @@
 	}
 	r.paceFrom, r.paceAt = now, r.silence.events
 	if ratio := s.pace.Ratio(taken, events*e.EventTokens); ratio >= slowPace {
-		s.picker.Slow(r.at.ID, ratio, now)
+		s.noteSlow(r, "pace of a run", ratio, now)
+	}
+}
+
+// noteSlow notes a sign of a slow engine. The caller holds the world's lock.
+func (s *stream) noteSlow(r *run, sign string, ratio float64, now time.Time) {
+	if s.picker.Slow(r.at.ID, ratio, now) {
+		s.log.Write(event.UpstreamSlow, "upstream", r.at.ID, "request", s.req.ID, "sign", sign, "slowness", ratio)
 	}
 }
 
