--- a/router/direct/absence.go
+++ b/router/direct/starting.go
@@ -1,15 +1,12 @@
 package direct
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"bilberrylug.dev/core/fault"
-	"bilberrylug.dev/core/placing"
 	"bilberrylug.dev/core/routing"
-	"bilberrylug.dev/core/stopping"
 )
 
 const (
@@ -55,27 +52,3 @@
 	}
 	return f
 }
-
-// admitStopping refuses a request that this router could not answer before its planned stop ends, and tells when a router is
-// there that can.
-func (x *exchange) admitStopping() error {
-	s, stops := x.stop.stop()
-	if !stops {
-		return nil
-	}
-	now := x.clock.Now()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	work := stopping.Work{Long: x.route.Kind == routing.Streaming, Limit: x.left(), Expected: x.pace.Expected(x.engineModel(), x.need())}
-	if s.Takes(work, x.others.Serving(now)) {
-		return nil
-	}
-	f := fault.New(fault.RouterStopping, "stops in %s, expected to take %s", s.Left, work.Expected)
-	f.Kind.RetryAfter = x.others.Back(s.Left, now)
-	return f
-}
-
-// need is the size of the request's generation.
-func (x *exchange) need() placing.Need {
-	return placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Seed: rand.Uint64()}
-}
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -65,6 +66,11 @@
 	}
 }
 
+// need is the size of the request's generation.
+func (x *exchange) need() placing.Need {
+	return placing.Need{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Seed: rand.Uint64()}
+}
+
 func (x *exchange) engineModel() placing.Model {
 	m := placing.DefaultModel
 	if e := x.service.Engine; e != nil {
