--- a/core/placing/ledger.go
+++ b/core/placing/ledger.go
@@ -114,7 +114,7 @@
 	return out
 }
 
-// own1 is what this router has measured itself. It fades, so that an engine that is no longer slow gets work again.
+// measured returns what this router has measured itself. It fades, so that an engine that is no longer slow gets work again.
 func (l *Ledger) measured(id ids.VM, now time.Time) float64 {
 	s, known := l.slowness[id]
 	if !known {
--- a/core/placing/pick.go
+++ b/core/placing/pick.go
@@ -127,7 +127,7 @@
 }
 
 func (p Picker) bias(c Candidate) time.Duration {
-	cost := time.Duration(p.draw(c.ID, uint64(spread)))
+	cost := time.Duration(xxhash.Sum64String(string(p.Router)+"/"+string(c.ID)) % uint64(spread))
 	if c.Domain != p.Domain {
 		cost += remoteCost
 	}
@@ -136,8 +136,3 @@
 	}
 	return cost
 }
-
-// draw returns a number below n that is the router's own for an engine.
-func (p Picker) draw(engine ids.VM, n uint64) uint64 {
-	return xxhash.Sum64String(string(p.Router)+"/"+string(engine)) % max(1, n)
-}
--- a/core/placing/waiting.go
+++ b/core/placing/waiting.go
@@ -24,13 +24,18 @@
 	Left time.Duration
 }
 
+// Doubtful tells whether the engine hangs or is known to be slow, without which the prompt stays.
+func (w Waiting) Doubtful() bool { return w.hangs() || w.Slowness >= slowSign }
+
+func (w Waiting) hangs() bool { return w.Elapsed >= hungFactor*w.Predicted+hungTime }
+
 // Move tells whether the prompt is better begun at another engine, which is expected to read it within the given time: when
 // this one hangs, or is known to be so slow that only the other may be on time.
 func (w Waiting) Move(other time.Duration) bool {
-	if w.Elapsed >= hungFactor*w.Predicted+hungTime {
+	if w.hangs() {
 		return true
 	}
-	if w.Slowness < slowSign {
+	if !w.Doubtful() {
 		return false
 	}
 	here := time.Duration(w.Slowness*float64(w.Predicted)) - w.Elapsed
--- a/router/direct/waiting.go
+++ b/router/direct/waiting.go
@@ -30,6 +30,13 @@
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
 	now := s.clock.Now()
+	w := placing.Waiting{
+		Elapsed: now.Sub(r.began), Predicted: max(r.predicted, s.model.FirstEvent(placing.Work{}, s.need.Prompt, 1)),
+		Slowness: s.picker.Slowness(r.at.ID, now) / r.slowness, Left: s.began.Add(s.route.Target).Sub(now),
+	}
+	if !w.Doubtful() {
+		return nil
+	}
 	tried := maps.Clone(s.tried)
 	tried[r.at.ID] = true
 	list, _ := s.hosts(tried, now)
@@ -37,10 +44,6 @@
 	if !ok || other.Suspect || tried[other.ID] {
 		return nil
 	}
-	w := placing.Waiting{
-		Elapsed: now.Sub(r.began), Predicted: max(r.predicted, s.model.FirstEvent(placing.Work{}, s.need.Prompt, 1)),
-		Slowness: s.picker.Slowness(r.at.ID, now) / r.slowness, Left: s.began.Add(s.route.Target).Sub(now),
-	}
 	if !w.Move(first) || !s.mayMove(now) {
 		return nil
 	}
