--- a/core/placing/pick.go
+++ b/core/placing/pick.go
@@ -40,7 +40,7 @@
 type Picker struct {
 	Router ids.VM
 	Domain ids.FailureDomain
-	// Routers is the number of routers that place generations.
+	// Routers is the number of routers that share the upstreams, this one included.
 	Routers int
 	*Ledger
 }
--- a/router/direct/gate.go
+++ b/router/direct/gate.go
@@ -22,7 +22,7 @@
 		for _, u := range w.fleet.Usable(service) {
 			slots += u.Slots
 		}
-		g = placing.NewGate(slots, w.routers)
+		g = placing.NewGate(slots, w.picker.Routers)
 		w.gates[service] = g
 	}
 	return g
--- a/router/direct/world.go
+++ b/router/direct/world.go
@@ -50,8 +50,6 @@
 	// gates bound the calls under way, by service.
 	gates  map[ids.Service]*placing.Gate
 	budget *budget.Budget
-	// routers is the number of routers that share the limits, this one included.
-	routers int
 	// running holds the streams under way, by upstream.
 	running map[ids.VM]map[*stream]bool
 	// duty decides whether this router watches the store.
@@ -82,7 +80,7 @@
 		fleet:  fleet.New(returnTime),
 		picker: placing.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, Ledger: placing.NewLedger()},
 		gates:  map[ids.Service]*placing.Gate{}, calls: placing.NewCalls(cfg.FailureDomain), budget: budget.New(cfg.budget(), o.Clock.Now()),
-		routers: minRouters, running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM), reuse: cfg.reuse(),
+		running: map[ids.VM]map[*stream]bool{}, homes: placing.NewHomes(), duty: mirror.NewDuty(cfg.VM), reuse: cfg.reuse(),
 		configured: make(chan struct{}), others: stopping.NewFleet(), began: o.Clock.Now(),
 	}
 }
@@ -189,8 +187,7 @@
 func (w *world) countRouters(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.routers = max(minRouters, n)
-	w.picker.Routers = w.routers
+	w.picker.Routers = max(minRouters, n)
 }
 
 // expire drops the upstreams that are gone after an outage.
@@ -209,7 +206,7 @@
 func (w *world) takeRepeat(s ids.Service) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	ok := w.budget.Take(s, w.clock.Now(), w.routers)
+	ok := w.budget.Take(s, w.clock.Now(), w.picker.Routers)
 	if !ok {
 		w.metrics.Counter("repeats_denied", "service", string(s)).Inc(1)
 	}
