--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -43,6 +43,8 @@
 	CopyOrdered       = Kind{"EV4305", slog.LevelInfo, "copy of a generation's memory made", noAction}
 	CopyFailed        = Kind{"EV4306", slog.LevelInfo, "copy of a generation's memory failed", "None; it is tried again while the generation runs."}
 	PromptsUnknown    = Kind{"EV4307", slog.LevelInfo, "engine did not list its prompts", "None; prompts may be read again."}
+	RequestWaits      = Kind{"EV4308", slog.LevelInfo, "request waits for the router's configuration", noAction}
+	PromptsLearnt     = Kind{"EV4309", slog.LevelInfo, "another router told where prompts were read", noAction}
 	CallUnknown       = Kind{"EV5001", slog.LevelWarn, "outcome of a call is unknown", "Look the record up at the service under the idempotency key."}
 	CallSettled       = Kind{"EV5002", slog.LevelInfo, "call cancelled through the ledger", noAction}
 	LedgerWriteLost   = Kind{"EV5003", slog.LevelWarn, "answer of a ledger write was lost", "None; the bucket is read back."}
@@ -59,7 +61,7 @@
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamFound, PeerChanged, UpstreamSlow, UpstreamFailing,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
-	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnd, CopyOrdered, CopyFailed, PromptsUnknown,
+	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnd, CopyOrdered, CopyFailed, PromptsUnknown, RequestWaits, PromptsLearnt,
 	CallUnknown, CallSettled, LedgerWriteLost,
 	LeaseHeld, LeaseLost, OrderGiven, OrderRefused,
 }
--- a/router/direct/news.go
+++ b/router/direct/news.go
@@ -185,6 +185,7 @@
 	for _, h := range list {
 		w.takeHome(h, now)
 	}
+	w.log.Write(event.PromptsLearnt, "prompts", len(list))
 }
 
 func (w *world) homeOf(name string) ids.VM {
--- a/router/direct/starting.go
+++ b/router/direct/starting.go
@@ -5,6 +5,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/routing"
 )
@@ -31,6 +32,7 @@
 	if p := x.req.Patience; p > 0 {
 		wait = min(wait, p/startShare)
 	}
+	x.log.Write(event.RequestWaits, "request", x.req.ID, "patience", x.req.Patience.String(), "at_most", wait.String())
 	ctx, cancel := clockwork.WithTimeout(x.r.Context(), x.clock, wait)
 	defer cancel()
 	for _, known := range []chan struct{}{x.configured, x.learnt} {
