A router that lacks a newer configuration says so

Cause: a router that knew of a newer configuration but did not have it yet answered 404 and 401 for routes and keys that only the newer one has, and stayed ready.

Change: requests that the active configuration does not allow wait for the announced one for an eighth of their caller's maximum wait and are then served by it, or refused with 503 (not run, come back). A router that has been behind for a second is not ready.

--- a/bench/dissemination/puller.go
+++ b/bench/dissemination/puller.go
@@ -48,7 +48,7 @@
 func (p *puller) stateChanged()            { p.node.StateChanged(p.Now()) }
 
 func (p *puller) apply(list []store.Change, upTo store.Revision) {
-	p.learn(p.node.Apply(list, upTo, p.Now()), p.alive)
+	p.learn(p.node.Apply(list, upTo), p.alive)
 }
 
 // tick looks at what is due from time to time.
@@ -170,7 +170,7 @@
 		}
 		for _, h := range p.history {
 			if h.Modified == c.Revision && h.Key == configKey && c.Size == len(h.Value) && c.Format <= delta.Zstd {
-				p.learn(p.node.Resolve(h.Item, p.Now()), p.alive)
+				p.learn(p.node.Resolve(h.Item), p.alive)
 				p.pump()
 				return
 			}
@@ -197,7 +197,7 @@
 				return
 			}
 			if ok {
-				p.learn(p.node.Resolve(item, p.Now()), p.alive)
+				p.learn(p.node.Resolve(item), p.alive)
 			}
 			p.node.StoreReadDone(p.Now())
 			p.pump()
--- a/core/dissemination/node.go
+++ b/core/dissemination/node.go
@@ -88,8 +88,6 @@
 	pull    pullState
 	fetch   fetchState
 	uploads tokenBucket
-	// behindSince is when the node learnt of a newer value than it has; zero if it has the newest known one.
-	behindSince time.Time
 }
 
 // New returns a node with an empty replica and without peers.
@@ -130,45 +128,36 @@
 }
 
 // Apply applies changes that the store has returned, and returns those that were new.
-func (n *Node) Apply(list []store.Change, upTo store.Revision, now time.Time) []store.Change {
-	return n.learn(n.replica.Apply(list, upTo), now)
+func (n *Node) Apply(list []store.Change, upTo store.Revision) []store.Change {
+	return n.learn(n.replica.Apply(list, upTo))
 }
 
 // Reset applies a full listing of one prefix of the store, and returns the changes that were new.
-func (n *Node) Reset(prefix string, items []store.Item, at store.Revision, now time.Time) []store.Change {
-	return n.learn(n.replica.Reset(prefix, items, at), now)
+func (n *Node) Reset(prefix string, items []store.Item, at store.Revision) []store.Change {
+	return n.learn(n.replica.Reset(prefix, items, at))
 }
 
 // MarkComplete records that all prefixes of the store have been listed at a revision or later.
 func (n *Node) MarkComplete(at store.Revision) { n.replica.MarkComplete(at) }
 
 // Resolve adds a large value that was fetched or read from the store, and returns the change unless a newer one is known.
-func (n *Node) Resolve(item store.Item, now time.Time) []store.Change {
-	return n.learn(n.replica.Resolve(item), now)
+func (n *Node) Resolve(item store.Item) []store.Change {
+	return n.learn(n.replica.Resolve(item))
 }
 
-// Behind returns how long the node has known of a newer large value than it has, or zero.
-func (n *Node) Behind(now time.Time) time.Duration {
-	if n.behindSince.IsZero() {
-		return 0
-	}
-	return now.Sub(n.behindSince)
+// LacksValue reports whether the node knows of a newer large value than it has.
+func (n *Node) LacksValue() bool {
+	_, _, omitted := n.replica.Omitted(n.o.ValueKey)
+	return omitted
 }
 
-// learn keeps the large value among new changes, and updates since when the node is behind.
-func (n *Node) learn(applied []store.Change, now time.Time) []store.Change {
+// learn keeps the large value among new changes.
+func (n *Node) learn(applied []store.Change) []store.Change {
 	n.pushDue = n.pushDue || len(applied) > 0
 	for _, c := range applied {
 		if c.Key == n.o.ValueKey && !c.Removed {
 			n.versions.add(c.Modified, c.Value)
 		}
 	}
-	_, _, omitted := n.replica.Omitted(n.o.ValueKey)
-	switch {
-	case !omitted:
-		n.behindSince = time.Time{}
-	case n.behindSince.IsZero():
-		n.behindSince = now
-	}
 	return applied
 }
--- a/core/dissemination/pull.go
+++ b/core/dissemination/pull.go
@@ -116,9 +116,9 @@
 		p.bulk.succeed()
 	}
 	if page.Snapshot {
-		return n.learn(n.mergeSnapshot(from, page), now)
+		return n.learn(n.mergeSnapshot(from, page))
 	}
-	return n.learn(n.replica.Merge(page.List, page.Since, page.UpTo), now)
+	return n.learn(n.replica.Merge(page.List, page.Since, page.UpTo))
 }
 
 // mergeSnapshot merges one part of a snapshot. The replica is complete only after the last part, which also removes the keys
@@ -145,7 +145,7 @@
 
 // BulkWait returns the time until NextPull and NextFetch are to be called again, and whether the node lacks anything.
 func (n *Node) BulkWait(now time.Time) (time.Duration, bool) {
-	_, _, omitted := n.replica.Omitted(n.o.ValueKey)
+	omitted := n.LacksValue()
 	if !omitted && n.highest <= n.Revision() {
 		return 0, false
 	}
--- a/core/dissemination/updates.go
+++ b/core/dissemination/updates.go
@@ -225,5 +225,5 @@
 	if d == nil {
 		return nil
 	}
-	return n.learn(n.replica.Merge(d.List, d.Since, d.UpTo), now)
+	return n.learn(n.replica.Merge(d.List, d.Since, d.UpTo))
 }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -41,6 +41,9 @@
 	// maxReadyDelay is the time since the start after which a router with a configuration reports ready even if it has found
 	// no engines from which to fetch the cached prompts.
 	maxReadyDelay = time.Second
+	// maxBehind is how long a router that knows of a newer configuration than it has reports ready. Changes have two seconds to
+	// become active.
+	maxBehind = time.Second
 	// expireInterval is the interval between checks for expired upstreams.
 	expireInterval = 200 * time.Millisecond
 	// shutdownPollInterval is the interval at which a graceful shutdown checks for running requests.
@@ -118,6 +121,7 @@
 	})
 	st.broadcastSoon = a.broadcaster.RequestBroadcast
 	st.applyRouter = a.applyRouter
+	st.behind = a.broadcaster.Behind
 	return a, nil
 }
 
@@ -212,9 +216,10 @@
 const intervalsUntilStale = 3
 
 // ready reports whether the load balancer should send callers here: the router has a configuration, has fetched the
-// engines' cached prompts or waited maxReadyDelay for them, is not stopping, and has no high scheduling delay.
+// engines' cached prompts or waited maxReadyDelay for them, is not stopping, has no high scheduling delay, and does not lack a
+// newer configuration for long.
 func (a *App) ready() bool {
-	if a.shutdown.stopping() || a.schedDelay.high.Load() || a.state.config.Load() == nil {
+	if a.shutdown.stopping() || a.schedDelay.high.Load() || a.state.config.Load() == nil || a.state.behind() > maxBehind {
 		return false
 	}
 	select {
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -92,22 +92,16 @@
 	if cfg == nil {
 		return x.notReadyError()
 	}
-	route, found := cfg.Match(x.r.Host, x.r.URL.EscapedPath())
-	if !found {
-		return fault.New(fault.UnknownRoute, "host %q, configuration %d", x.r.Host, cfg.Version)
-	}
-	x.route = route
-	if cfg.NeedsKey(route) {
-		workspace, known := cfg.Workspace(x.req.Key)
-		if !known {
-			return fault.New(fault.Unauthenticated, "configuration %d", cfg.Version)
-		}
-		x.workspace = workspace
+	cfg, err = x.matchCurrent(cfg)
+	if err != nil {
+		return err
 	}
-	x.service, found = cfg.Service(route.Pick(rand.Float64()))
+	var found bool
+	x.service, found = cfg.Service(x.route.Pick(rand.Float64()))
 	if !found {
 		return fault.New(fault.NoUpstream, "the configuration does not declare the route's service")
 	}
+	route := x.route
 	x.deadline = x.arrivedAt.Add(route.Timeout)
 	if maxWait := x.req.MaxWait; maxWait > 0 && maxWait < route.Timeout {
 		x.deadline = x.arrivedAt.Add(maxWait)
@@ -118,6 +112,24 @@
 	return x.readBody(cfg.Limits.MaxBodyBytes)
 }
 
+// match finds the route and the workspace of the request in a configuration.
+func (x *exchange) match(cfg *routing.Config) error {
+	route, found := cfg.Match(x.r.Host, x.r.URL.EscapedPath())
+	if !found {
+		return fault.New(fault.UnknownRoute, "host %q, configuration %d", x.r.Host, cfg.Version)
+	}
+	x.route = route
+	if !cfg.NeedsKey(route) {
+		return nil
+	}
+	workspace, known := cfg.Workspace(x.req.Key)
+	if !known {
+		return fault.New(fault.Unauthenticated, "configuration %d", cfg.Version)
+	}
+	x.workspace = workspace
+	return nil
+}
+
 func (x *exchange) readBody(limit int64) error {
 	if x.r.ContentLength == 0 {
 		return nil
--- a/router/direct/startup.go
+++ b/router/direct/startup.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -28,12 +29,7 @@
 	if cfg := x.config.Load(); cfg != nil {
 		return cfg
 	}
-	wait := maxStartupWait
-	if maxWait := x.req.MaxWait; maxWait > 0 {
-		wait = min(wait, maxWait/startupWaitDivisor)
-	}
-	x.log.Write(event.RequestWaiting, "request", x.req.ID, "patience", x.req.MaxWait.String(), "at_most", wait.String())
-	ctx, cancel := clockwork.WithTimeout(x.r.Context(), x.clock, wait)
+	ctx, cancel := x.configWait("none active yet")
 	defer cancel()
 	for _, ready := range []chan struct{}{x.configured, x.promptsFetched} {
 		select {
@@ -45,6 +41,49 @@
 	return x.config.Load()
 }
 
+// configWait returns the context of a wait for a configuration.
+func (x *exchange) configWait(reason string) (context.Context, context.CancelFunc) {
+	wait := maxStartupWait
+	if maxWait := x.req.MaxWait; maxWait > 0 {
+		wait = min(wait, maxWait/startupWaitDivisor)
+	}
+	x.log.Write(event.RequestWaiting, "request", x.req.ID, "patience", x.req.MaxWait.String(), "at_most", wait.String(), "reason", reason,
+		"config_version", x.configVersion())
+	return clockwork.WithTimeout(x.r.Context(), x.clock, wait)
+}
+
+// matchCurrent finds the route and the workspace of the request. If the active configuration does not allow the request and
+// the router knows of a newer one that it does not have yet, the request waits for that one for a limited time. It returns the
+// configuration that was used.
+func (x *exchange) matchCurrent(cfg *routing.Config) (*routing.Config, error) {
+	err := x.match(cfg)
+	if err == nil || x.behind() == 0 {
+		return cfg, err
+	}
+	ctx, cancel := x.configWait("behind for " + x.behind().String())
+	defer cancel()
+	for err != nil && x.behind() > 0 {
+		activated := x.nextActivation()
+		if newer := x.config.Load(); newer != cfg {
+			cfg = newer
+			err = x.match(cfg)
+			continue
+		}
+		select {
+		case <-activated:
+		case <-ctx.Done():
+			f := fault.Wrap(fault.NotReady, err, "behind for %s", x.behind())
+			f.Kind.RetryAfter = startupTime
+			return cfg, f
+		}
+	}
+	if err != nil {
+		cfg = x.config.Load()
+		err = x.match(cfg)
+	}
+	return cfg, err
+}
+
 // notReadyError returns the fault for a request to a router without a configuration.
 func (x *exchange) notReadyError() error {
 	f := fault.New(fault.NotReady, "no configuration")
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -41,11 +41,15 @@
 	config atomic.Pointer[routing.Config]
 	// configured is closed when the first configuration becomes active.
 	configured chan struct{}
-
-	mu     sync.Mutex
-	fleet  *fleet.Directory
-	picker placement.Picker
-	calls  *placement.CallPicker
+	// behind returns how long the router has known of a newer configuration than it has, or zero.
+	behind func() time.Duration
+
+	mu sync.Mutex
+	// activation is closed and replaced when a configuration becomes active.
+	activation chan struct{}
+	fleet      *fleet.Directory
+	picker     placement.Picker
+	calls      *placement.CallPicker
 	// limiters holds the concurrency limiters for calls, by service.
 	limiters map[ids.Service]*placement.Limiter
 	budget   *budget.Budget
@@ -82,7 +86,7 @@
 		limiters: map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(),
-		configured: make(chan struct{}), peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
+		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
 	}
 }
 
@@ -124,10 +128,21 @@
 	if st.config.Swap(cfg) == nil {
 		close(st.configured)
 	}
+	st.mu.Lock()
+	close(st.activation)
+	st.activation = make(chan struct{})
+	st.mu.Unlock()
 	st.metrics.Gauge("config_version").Update(int64(cfg.Version))
 	st.log.Write(event.ConfigActivated, "version", uint64(cfg.Version), "store_revision", uint64(c.Modified))
 }
 
+// nextActivation returns a channel that is closed when the next configuration becomes active.
+func (st *state) nextActivation() <-chan struct{} {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.activation
+}
+
 // applyUpstream applies a change of an upstream's entry.
 func (st *state) applyUpstream(c store.Change) {
 	now := st.clock.Now()
--- a/router/gossip/broadcaster.go
+++ b/router/gossip/broadcaster.go
@@ -74,6 +74,9 @@
 	// unapplied holds the changes that are still to be passed to OnChanges, and applying is set while a goroutine does so.
 	unapplied []store.Change
 	applying  bool
+	// valueLackedSince is since when this router knows of a newer large value than OnChanges has returned for; zero if it has
+	// the newest known one.
+	valueLackedSince time.Time
 	// promptRequests counts the routers from which cached prompts were requested.
 	promptRequests int
 	// promptsSent is the position of the last recorded prompt that each router has received.
@@ -109,11 +112,14 @@
 	return b.node.LongestInterval()
 }
 
-// Behind returns how long this router has known of a newer large value than it has, or zero.
+// Behind returns how long this router has known of a newer large value than the last one that OnChanges has handled, or zero.
 func (b *Broadcaster) Behind() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.node.Behind(b.o.Clock.Now())
+	if b.valueLackedSince.IsZero() {
+		return 0
+	}
+	return max(time.Nanosecond, b.o.Clock.Since(b.valueLackedSince))
 }
 
 // RequestBroadcast requests a broadcast soon. It does not block and takes no lock.
--- a/router/gossip/bulk.go
+++ b/router/gossip/bulk.go
@@ -130,5 +130,5 @@
 }
 
 func (b *Broadcaster) resolve(item store.Item) {
-	b.merge(func(now time.Time) []store.Change { return b.node.Resolve(item, now) })
+	b.merge(func(time.Time) []store.Change { return b.node.Resolve(item) })
 }
--- a/router/gossip/replica.go
+++ b/router/gossip/replica.go
@@ -15,12 +15,12 @@
 
 // Apply applies changes that the store has returned.
 func (b *Broadcaster) Apply(list []store.Change, upTo store.Revision) {
-	b.merge(func(now time.Time) []store.Change { return b.node.Apply(list, upTo, now) })
+	b.merge(func(time.Time) []store.Change { return b.node.Apply(list, upTo) })
 }
 
 // Reset applies a full listing of one prefix of the store.
 func (b *Broadcaster) Reset(prefix string, items []store.Item, at store.Revision) {
-	b.merge(func(now time.Time) []store.Change { return b.node.Reset(prefix, items, at, now) })
+	b.merge(func(time.Time) []store.Change { return b.node.Reset(prefix, items, at) })
 }
 
 // MarkComplete records that all prefixes of the store have been listed at a revision or later.
@@ -34,8 +34,12 @@
 // one passes them on, so that their order is kept without waiting.
 func (b *Broadcaster) merge(change func(now time.Time) []store.Change) {
 	b.mu.Lock()
-	applied := change(b.o.Clock.Now())
+	now := b.o.Clock.Now()
+	applied := change(now)
 	b.unapplied = append(b.unapplied, applied...)
+	if b.valueLackedSince.IsZero() && b.node.LacksValue() {
+		b.valueLackedSince = now
+	}
 	if b.applying {
 		b.mu.Unlock()
 		return
@@ -49,6 +53,9 @@
 		b.mu.Lock()
 	}
 	b.applying = false
+	if !b.node.LacksValue() {
+		b.valueLackedSince = time.Time{}
+	}
 	b.mu.Unlock()
 	if len(applied) > 0 {
 		wake(b.updatesDue)
