--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -54,31 +54,59 @@
 	// reregisterTime is how long live upstreams may take to register again after the store has recovered.
 	reregisterTime time.Duration
 	upstreams      map[ids.VM]*Upstream
+	// byAddress holds the upstream at each address.
+	byAddress map[string]ids.VM
 	// losses holds the times of the recent losses in each failure domain.
 	losses map[ids.FailureDomain][]time.Time
 	// storeRecoveredAt is when the store became reachable again, zero before its first recovery.
 	storeRecoveredAt time.Time
 	storeDown        bool
+	// usable caches the results of Usable until an upstream appears, disappears or changes its availability.
+	usable map[ids.Service][]*Upstream
 }
 
 // New returns an empty directory. Entries removed from the store during an outage and within reregisterTime after it are
 // kept.
 func New(reregisterTime time.Duration) *Directory {
-	return &Directory{reregisterTime: reregisterTime, upstreams: map[ids.VM]*Upstream{}, losses: map[ids.FailureDomain][]time.Time{}}
+	return &Directory{
+		reregisterTime: reregisterTime, upstreams: map[ids.VM]*Upstream{}, byAddress: map[string]ids.VM{}, losses: map[ids.FailureDomain][]time.Time{},
+		usable: map[ids.Service][]*Upstream{},
+	}
+}
+
+// changed discards the cached results of Usable.
+func (d *Directory) changed() { clear(d.usable) }
+
+func (d *Directory) add(u *Upstream) {
+	d.changed()
+	d.upstreams[u.ID] = u
+	d.byAddress[u.Address] = u.ID
+}
+
+func (d *Directory) remove(id ids.VM) {
+	u, known := d.upstreams[id]
+	if !known {
+		return
+	}
+	d.changed()
+	delete(d.upstreams, id)
+	if d.byAddress[u.Address] == id {
+		delete(d.byAddress, u.Address)
+	}
 }
 
 // Put adds or updates an upstream's entry. Any other upstream registered at the same address has ended and is deleted.
 func (d *Directory) Put(e Entry) {
-	for id, u := range d.upstreams {
-		if id != e.ID && u.Address == e.Address {
-			delete(d.upstreams, id)
-		}
+	if at, taken := d.byAddress[e.Address]; taken && at != e.ID {
+		d.remove(at)
 	}
 	old, known := d.upstreams[e.ID]
 	if !known || old.Started != e.Started || old.Address != e.Address {
-		d.upstreams[e.ID] = &Upstream{Entry: e}
+		d.remove(e.ID)
+		d.add(&Upstream{Entry: e})
 		return
 	}
+	d.changed()
 	old.Entry = e
 	old.missingSince = time.Time{}
 }
@@ -94,7 +122,7 @@
 		u.missingSince = now
 		return
 	}
-	delete(d.upstreams, id)
+	d.remove(id)
 }
 
 // SetStoreReachable records whether the store is reachable. An unreachable store does not count as an outage before any
@@ -121,7 +149,7 @@
 	var out []ids.VM
 	for id, u := range d.upstreams {
 		if !u.missingSince.IsZero() {
-			delete(d.upstreams, id)
+			d.remove(id)
 			out = append(out, id)
 		}
 	}
@@ -131,7 +159,7 @@
 // Forget deletes an upstream whose address now answers as another upstream.
 func (d *Directory) Forget(id ids.VM, started int64) {
 	if u, known := d.upstreams[id]; known && u.Started == started {
-		delete(d.upstreams, id)
+		d.remove(id)
 	}
 }
 
@@ -148,18 +176,27 @@
 func (u Upstream) Available() bool { return !u.Draining && u.lostAt.IsZero() }
 
 // Usable returns the upstreams of a service that may receive work, sorted by ID. If all of them are lost, it returns the
-// registered ones that are not draining, as a last resort.
-func (d *Directory) Usable(service ids.Service) []Upstream {
-	list := d.list(func(u *Upstream) bool { return u.Service == service && u.Available() })
-	if len(list) > 0 {
+// registered ones that are not draining, as a last resort. The list and the upstreams must not be changed, and may be used
+// only until the next call of another method.
+func (d *Directory) Usable(service ids.Service) []*Upstream {
+	if list, known := d.usable[service]; known {
 		return list
 	}
-	return d.list(func(u *Upstream) bool { return u.Service == service && !u.Draining })
+	list := d.list(func(u *Upstream) bool { return u.Service == service && u.Available() })
+	if len(list) == 0 {
+		list = d.list(func(u *Upstream) bool { return u.Service == service && !u.Draining })
+	}
+	d.usable[service] = list
+	return list
 }
 
 // LostUpstreams returns the registered upstreams that are unavailable because they were lost.
 func (d *Directory) LostUpstreams() []Upstream {
-	return d.list(func(u *Upstream) bool { return !u.lostAt.IsZero() })
+	var out []Upstream
+	for _, u := range d.list(func(u *Upstream) bool { return !u.lostAt.IsZero() }) {
+		out = append(out, *u)
+	}
+	return out
 }
 
 // AnsweredAt returns when the upstream last answered a request.
@@ -168,13 +205,13 @@
 // LostAt returns when the upstream was last found unreachable, or zero if it is not lost.
 func (u Upstream) LostAt() time.Time { return u.lostAt }
 
-func (d *Directory) list(match func(u *Upstream) bool) []Upstream {
-	var out []Upstream
+func (d *Directory) list(match func(u *Upstream) bool) []*Upstream {
+	var out []*Upstream
 	for _, u := range d.upstreams {
 		if match(u) {
-			out = append(out, *u)
+			out = append(out, u)
 		}
 	}
-	slices.SortFunc(out, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(out, func(a, b *Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -16,6 +16,9 @@
 	if u.lostAt.IsZero() && now.Sub(u.suspectedAt) > suspicionTTL {
 		d.recordLoss(u.Domain, now)
 	}
+	if u.lostAt.IsZero() {
+		d.changed()
+	}
 	u.lostAt = now
 	u.probedAt = now
 }
@@ -48,6 +51,7 @@
 // MarkRecovered makes an upstream available again.
 func (d *Directory) MarkRecovered(id ids.VM, started int64) {
 	if u, known := d.upstreams[id]; known && u.Started == started {
+		d.changed()
 		u.lostAt = time.Time{}
 		u.suspectedAt = time.Time{}
 	}
@@ -106,8 +110,8 @@
 	e := u.Entry
 	e.ID = newID
 	e.Started = 0
-	delete(d.upstreams, oldID)
-	d.upstreams[newID] = &Upstream{Entry: e, answeredAt: now}
+	d.remove(oldID)
+	d.add(&Upstream{Entry: e, answeredAt: now})
 	return true
 }
 
--- a/core/placement/engine_model.go
+++ b/core/placement/engine_model.go
@@ -38,6 +38,10 @@
 	return Work{PendingPrefill: w.PendingPrefill + o.PendingPrefill, Running: w.Running + o.Running, Memory: w.Memory + o.Memory}
 }
 
+func (w Work) negate() Work {
+	return Work{PendingPrefill: -w.PendingPrefill, Running: -w.Running, Memory: -w.Memory}
+}
+
 // TimeToFirstEvent predicts the time to the first event of a prompt that is placed now, queued behind and batched with the
 // given work.
 func (m EngineModel) TimeToFirstEvent(w Work, prompt int, slowness float64) time.Duration {
--- a/core/placement/load_tracker.go
+++ b/core/placement/load_tracker.go
@@ -13,6 +13,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -53,6 +54,11 @@
 type LoadTracker struct {
 	own   map[ids.VM]Work
 	peers map[ids.VM]peerWork
+	// peerSum is the sum of the work in peers by engine, slowAt holds the slowness in peers by engine and router.
+	peerSum map[ids.VM]Work
+	slowAt  map[ids.VM]map[ids.VM]float64
+	// nextExpiry is the time before which no report in peers expires.
+	nextExpiry time.Time
 	// slowness is the ratio of the measured to the predicted time to the first event.
 	slowness map[ids.VM]slownessSample
 	// PeerTTL is how long the reports of another router are used, at least peerWorkTTL. In a large fleet they are rare.
@@ -74,7 +80,10 @@
 
 // NewLoadTracker returns an empty LoadTracker.
 func NewLoadTracker() *LoadTracker {
-	return &LoadTracker{own: map[ids.VM]Work{}, peers: map[ids.VM]peerWork{}, slowness: map[ids.VM]slownessSample{}}
+	return &LoadTracker{
+		own: map[ids.VM]Work{}, peers: map[ids.VM]peerWork{}, peerSum: map[ids.VM]Work{}, slowAt: map[ids.VM]map[ids.VM]float64{},
+		slowness: map[ids.VM]slownessSample{},
+	}
 }
 
 // OwnWork returns the work that this router has placed at each engine.
@@ -82,31 +91,71 @@
 
 // UpdatePeer replaces the work and the slow engines that another router has reported.
 func (t *LoadTracker) UpdatePeer(router ids.VM, work map[ids.VM]Work, slow map[ids.VM]float64, now time.Time) {
-	t.peers[router] = peerWork{at: now, work: work, slow: slow}
+	t.RemovePeer(router)
+	t.peers[router] = peerWork{at: now, work: maps.Clone(work), slow: maps.Clone(slow)}
+	for id, w := range work {
+		t.peerSum[id] = t.peerSum[id].Add(w)
+	}
+	for id, slowness := range slow {
+		if t.slowAt[id] == nil {
+			t.slowAt[id] = map[ids.VM]float64{}
+		}
+		t.slowAt[id][router] = slowness
+	}
+	if expiry := now.Add(t.peerTTL()); len(t.peers) == 1 || expiry.Before(t.nextExpiry) {
+		t.nextExpiry = expiry
+	}
 }
 
 // RemovePeer deletes the work of a router that has ended.
-func (t *LoadTracker) RemovePeer(router ids.VM) { delete(t.peers, router) }
+func (t *LoadTracker) RemovePeer(router ids.VM) {
+	old := t.peers[router]
+	delete(t.peers, router)
+	for id, w := range old.work {
+		if sum := t.peerSum[id].Add(w.negate()); sum == (Work{}) {
+			delete(t.peerSum, id)
+		} else {
+			t.peerSum[id] = sum
+		}
+	}
+	for id := range old.slow {
+		delete(t.slowAt[id], router)
+		if len(t.slowAt[id]) == 0 {
+			delete(t.slowAt, id)
+		}
+	}
+}
 
-// WorkAt returns all known work at an engine.
-func (t *LoadTracker) WorkAt(id ids.VM, now time.Time) Work {
-	sum := t.own[id]
-	for _, peer := range t.peers {
-		if now.Sub(peer.at) <= t.peerTTL() {
-			sum = sum.Add(peer.work[id])
+// expire deletes the reports of other routers that have expired.
+func (t *LoadTracker) expire(now time.Time) {
+	if !now.After(t.nextExpiry) {
+		return
+	}
+	t.nextExpiry = now.Add(t.peerTTL())
+	for router, peer := range t.peers {
+		expiry := peer.at.Add(t.peerTTL())
+		switch {
+		case now.After(expiry):
+			t.RemovePeer(router)
+		case expiry.Before(t.nextExpiry):
+			t.nextExpiry = expiry
 		}
 	}
-	return sum
+}
+
+// WorkAt returns all known work at an engine.
+func (t *LoadTracker) WorkAt(id ids.VM, now time.Time) Work {
+	t.expire(now)
+	return t.own[id].Add(t.peerSum[id])
 }
 
 // Slowness returns how much longer than predicted work takes at an engine, as a factor: the highest that this router has
 // measured or another one has reported.
 func (t *LoadTracker) Slowness(id ids.VM, now time.Time) float64 {
+	t.expire(now)
 	slowness := t.ownSlowness(id, now)
-	for _, peer := range t.peers {
-		if now.Sub(peer.at) <= t.peerTTL() {
-			slowness = max(slowness, peer.slow[id])
-		}
+	for _, reported := range t.slowAt[id] {
+		slowness = max(slowness, reported)
 	}
 	return slowness
 }
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -72,19 +72,27 @@
 	if len(list) <= size {
 		return list
 	}
-	key := func(c Candidate) float64 {
+	type ranked struct {
+		Candidate
+		rank float64
+	}
+	drawn := make([]ranked, len(list))
+	for i, c := range list {
+		rank := r.random(c.ID)
 		switch {
 		case c.ID == r.CachedAt:
-			return 0
+			rank = 0
 		case c.Suspect:
-			return 1 + r.random(c.ID)
-		default:
-			return r.random(c.ID)
+			rank++
 		}
+		drawn[i] = ranked{c, rank}
+	}
+	slices.SortFunc(drawn, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	out := make([]Candidate, size)
+	for i := range out {
+		out[i] = drawn[i].Candidate
 	}
-	drawn := slices.Clone(list)
-	slices.SortFunc(drawn, func(a, b Candidate) int { return cmp.Compare(key(a), key(b)) })
-	return drawn[:size]
+	return out
 }
 
 // estimate is the predicted time to the first event of a placement, and its cost, which adds penalties to that time.
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -13,7 +13,6 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
-	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
 )
@@ -159,44 +158,22 @@
 	x.logEnd(a.resp.StatusCode, "bytes", len(a.body), "delivered", err == nil)
 }
 
-// candidates returns the usable upstreams of the request's service. Those already tried are included only if there are no
-// others. The caller must hold x.state.mu.
-func (x *exchange) candidates(tried map[ids.VM]bool, now time.Time) ([]placement.Candidate, map[ids.VM]fleet.Upstream) {
-	all := x.fleet.Usable(x.service.Name)
-	byID := make(map[ids.VM]fleet.Upstream, len(all))
-	list := make([]placement.Candidate, 0, len(all))
-	var retried []placement.Candidate
-	for _, u := range all {
-		byID[u.ID] = u
-		c := placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: x.fleet.IsSuspected(u, now)}
-		if tried[u.ID] {
-			retried = append(retried, c)
-		} else {
-			list = append(list, c)
-		}
-	}
-	if len(list) == 0 {
-		list = retried
-	}
-	return list, byID
-}
-
 // pickCall chooses the upstream of the next attempt and counts the call there.
 func (x *exchange) pickCall(tried map[ids.VM]bool) (fleet.Upstream, bool) {
 	now := x.clock.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	list, byID := x.candidates(tried, now)
-	slots := make(map[ids.VM]int, len(list))
-	for id, u := range byID {
-		slots[id] = u.Slots
+	list := x.candidates(tried, "", now)
+	slots := make(map[ids.VM]int, len(list.upstreams))
+	for _, u := range list.upstreams {
+		slots[u.ID] = u.Slots
 	}
-	c, ok := x.calls.Pick(list, slots, now)
+	c, ok := x.calls.Pick(list.candidates, slots, now)
 	if !ok {
 		return fleet.Upstream{}, false
 	}
 	x.calls.Start(c.ID)
-	return byID[c.ID], true
+	return list.get(c.ID), true
 }
 
 // tryCall makes one attempt at an upstream and reads the complete answer.
--- /dev/null
+++ b/router/direct/candidates.go
@@ -0,0 +1,81 @@
+package direct
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/placement"
+)
+
+// maxCandidates bounds the upstreams that are considered for one attempt. More of them would cost processor time in
+// proportion and make the choice hardly better.
+const maxCandidates = 192
+
+// candidateList holds the upstreams that are considered for one attempt.
+type candidateList struct {
+	candidates []placement.Candidate
+	upstreams  []*fleet.Upstream
+}
+
+// get returns the upstream of a candidate.
+func (l candidateList) get(id ids.VM) fleet.Upstream {
+	for _, u := range l.upstreams {
+		if u.ID == id {
+			return *u
+		}
+	}
+	return fleet.Upstream{}
+}
+
+// candidates returns usable upstreams of the request's service: all of them or, if they are many, a random part that includes
+// the preferred one. Those already tried are included only if there are no others. The caller must hold x.state.mu.
+func (x *exchange) candidates(tried map[ids.VM]bool, preferred ids.VM, now time.Time) candidateList {
+	all := x.fleet.Usable(x.service.Name)
+	list := candidateList{candidates: make([]placement.Candidate, 0, min(len(all), maxCandidates))}
+	add := func(u *fleet.Upstream) {
+		list.candidates = append(list.candidates, placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: x.fleet.IsSuspected(*u, now)})
+		list.upstreams = append(list.upstreams, u)
+	}
+	var retried []*fleet.Upstream
+	for _, u := range drawUpstreams(all, preferred) {
+		if tried[u.ID] {
+			retried = append(retried, u)
+		} else {
+			add(u)
+		}
+	}
+	if len(list.candidates) == 0 {
+		for _, u := range retried {
+			add(u)
+		}
+	}
+	return list
+}
+
+// drawUpstreams returns all upstreams, or maxCandidates of them if they are more, in their order. The drawn ones follow each
+// other at an even distance from a random start, and the preferred one is always among them.
+func drawUpstreams(all []*fleet.Upstream, preferred ids.VM) []*fleet.Upstream {
+	if len(all) <= maxCandidates {
+		return all
+	}
+	out := make([]*fleet.Upstream, 0, maxCandidates+1)
+	step := float64(len(all)) / maxCandidates
+	start := rand.Float64() * step
+	found := preferred == ""
+	for i := range maxCandidates {
+		u := all[int(start+float64(i)*step)]
+		found = found || u.ID == preferred
+		out = append(out, u)
+	}
+	if found {
+		return out
+	}
+	for _, u := range all {
+		if u.ID == preferred {
+			return append(out, u)
+		}
+	}
+	return out
+}
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -130,8 +130,8 @@
 			return u, true
 		}
 	}
-	list, byID := c.s.runCandidates(map[ids.VM]bool{}, now)
-	u, ok := c.s.pickCopyHost(c.r, list, byID, now)
+	list := c.s.runCandidates(map[ids.VM]bool{}, "", now)
+	u, ok := c.s.pickCopyHost(c.r, list, now)
 	if ok {
 		c.r.reservation.CopyTo(u.ID)
 		c.s.broadcastSoon()
--- a/router/direct/prompts.go
+++ b/router/direct/prompts.go
@@ -73,7 +73,7 @@
 	for _, s := range cfg.EngineServices() {
 		for _, u := range h.fleet.Usable(s) {
 			if u.Domain == h.picker.Domain {
-				out = append(out, u)
+				out = append(out, *u)
 			}
 		}
 	}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -132,9 +132,10 @@
 	now := s.clock.Now()
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	list, byID := s.runCandidates(s.tried, now)
-	r := &run{placedAt: now}
 	placementReq := s.placementReq
+	placementReq.CachedAt = s.promptEngine(s.req.Prompt.Name)
+	list := s.runCandidates(s.tried, placementReq.CachedAt, now)
+	r := &run{placedAt: now}
 	if c := s.resumeCopy; c != nil {
 		if u, known := s.fleet.Get(c.host.ID); known && u.Started == c.host.Started && u.Available() {
 			r.upstream = u
@@ -144,15 +145,14 @@
 		s.resumeCopy = nil
 	}
 	if r.resumeFrom.IsZero() {
-		placementReq.CachedAt = s.promptEngine(s.req.Prompt.Name)
-		c, predicted, ok := s.picker.Pick(list, placementReq, s.model, now)
+		c, predicted, ok := s.picker.Pick(list.candidates, placementReq, s.model, now)
 		if !ok {
 			return nil, errNoUpstream
 		}
-		r.upstream = byID[c.ID]
+		r.upstream = list.get(c.ID)
 		r.predicted = predicted
 	}
-	if u, ok := s.pickCopyHost(r, list, byID, now); ok {
+	if u, ok := s.pickCopyHost(r, list, now); ok {
 		r.backup = &u
 	}
 	r.slowness = s.picker.Slowness(r.upstream.ID, now)
@@ -174,24 +174,27 @@
 }
 
 // runCandidates returns the candidates for runs and copies. The caller must hold s.state.mu.
-func (s *stream) runCandidates(tried map[ids.VM]bool, now time.Time) ([]placement.Candidate, map[ids.VM]fleet.Upstream) {
-	list, byID := s.candidates(tried, now)
+func (s *stream) runCandidates(tried map[ids.VM]bool, preferred ids.VM, now time.Time) candidateList {
+	list := s.candidates(tried, preferred, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range list {
-		list[i].Suspect = list[i].Suspect || s.failedDomains[list[i].Domain]
+	for i, c := range list.candidates {
+		list.candidates[i].Suspect = c.Suspect || s.failedDomains[c.Domain]
 	}
-	return list, byID
+	return list
 }
 
 // pickCopyHost chooses the upstream that receives the copy of a run's KV cache. The caller must hold s.state.mu.
-func (s *stream) pickCopyHost(r *run, list []placement.Candidate, byID map[ids.VM]fleet.Upstream, now time.Time) (fleet.Upstream, bool) {
+func (s *stream) pickCopyHost(r *run, list candidateList, now time.Time) (fleet.Upstream, bool) {
 	if s.service.Engine == nil || !s.service.Engine.Backups || !s.route.Resumable {
 		return fleet.Upstream{}, false
 	}
-	c, ok := s.picker.PickCopy(list, placement.Candidate{ID: r.upstream.ID, Domain: r.upstream.Domain},
+	c, ok := s.picker.PickCopy(list.candidates, placement.Candidate{ID: r.upstream.ID, Domain: r.upstream.Domain},
 		s.placementReq, s.model, now)
-	return byID[c.ID], ok
+	if !ok {
+		return fleet.Upstream{}, false
+	}
+	return list.get(c.ID), true
 }
 
 // release ends a run's reservation and removes the stream from those that run on the upstream.
--- a/router/direct/slow.go
+++ b/router/direct/slow.go
@@ -42,8 +42,8 @@
 	}
 	tried := maps.Clone(s.tried)
 	tried[r.upstream.ID] = true
-	list, _ := s.runCandidates(tried, now)
-	alt, altPredicted, ok := s.picker.Pick(list, s.placementReq, s.model, now)
+	list := s.runCandidates(tried, "", now)
+	alt, altPredicted, ok := s.picker.Pick(list.candidates, s.placementReq, s.model, now)
 	if !ok || alt.Suspect || tried[alt.ID] {
 		return nil
 	}
