--- a/bench/command/answers.go
+++ b/bench/command/answers.go
@@ -24,7 +24,7 @@
 func New(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name: "bilberrylug-bench", Usage: "generate load and check every answer", Writer: out,
-		Commands: []*cli.Command{answers(out), policy(out)},
+		Commands: []*cli.Command{answers(out), policy(out), disseminate(out)},
 	}
 }
 
--- a/bench/command/policy.go
+++ b/bench/command/policy.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"bilberrylug.dev/bench/generation"
 	"bilberrylug.dev/bench/load"
 	"bilberrylug.dev/bench/report"
 )
@@ -15,6 +16,13 @@
 // defaultSeed makes runs without --seed reproducible.
 const defaultSeed = 20261204
 
+func experimentFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.Uint64Flag{Name: "seed", Value: defaultSeed, Usage: "seed of the load"},
+		&cli.StringFlag{Name: "results", Value: "results", Usage: "directory for the JSON result and the plots"},
+	}
+}
+
 // experiment is a shape and the policies that are simulated under it.
 type experiment struct {
 	shape    load.Shape
@@ -33,13 +41,20 @@
 	}
 }
 
+func simulateGenerations(seed uint64) []*generation.Result {
+	var out []*generation.Result
+	for _, sc := range []generation.Scenario{generation.Small(), generation.Large(), generation.DomainLosses(), generation.Crest()} {
+		for _, p := range generation.Policies() {
+			out = append(out, generation.Run(sc, p, seed))
+		}
+	}
+	return out
+}
+
 func policy(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name: "policy", Usage: "compare load-balancing policies in simulated time",
-		Flags: []cli.Flag{
-			&cli.Uint64Flag{Name: "seed", Value: defaultSeed, Usage: "seed of the load"},
-			&cli.StringFlag{Name: "results", Value: "results", Usage: "directory for the JSON result and the plots"},
-		},
+		Flags: experimentFlags(),
 		Action: func(_ context.Context, c *cli.Command) error {
 			var results []*load.Result
 			for _, d := range []load.Deployment{load.Mandi(), load.Fondazione()} {
@@ -50,9 +65,15 @@
 				}
 			}
 			report.Table(out, results)
-			if err := report.JSON(filepath.Join(c.String("results"), "policy.json"), results); err != nil {
+			generations := simulateGenerations(c.Uint64("seed"))
+			report.GenerationTable(out, generations)
+			saved := map[string]any{"load": results, "generations": generations}
+			if err := report.JSON(filepath.Join(c.String("results"), "policy.json"), saved); err != nil {
 				return fmt.Errorf("save policy results: %w", err)
 			}
+			if err := report.PlotGenerations(c.String("results"), generations); err != nil {
+				return err
+			}
 			return report.Plot(c.String("results"), results)
 		},
 	}
--- a/bench/generation/policy.go
+++ b/bench/generation/policy.go
@@ -52,10 +52,10 @@
 			}
 			return cost
 		}), true
-	default:
-		c, _, ok := r.picker.Pick(list, req, r.model, now)
-		return c, ok
+	case Production:
 	}
+	c, _, ok := r.picker.Pick(list, req, r.model, now)
+	return c, ok
 }
 
 // cheapest returns the candidate of a random sample that has the lowest cost.
--- a/bench/report/report.go
+++ b/bench/report/report.go
@@ -9,25 +9,16 @@
 import (
 	"encoding/json"
 	"fmt"
-	"image/color"
 	"io"
 	"os"
 	"path/filepath"
 	"text/tabwriter"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-
+	"bilberrylug.dev/bench/dissemination"
+	"bilberrylug.dev/bench/generation"
 	"bilberrylug.dev/bench/load"
 )
 
-const (
-	plotWidth  = 8 * vg.Inch
-	plotHeight = 4 * vg.Inch
-	barWidth   = 16
-)
-
 // Table writes the results as a table, one per line. Times are in milliseconds.
 func Table(out io.Writer, results []*load.Result) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -40,6 +31,34 @@
 	_ = w.Flush()
 }
 
+// DisseminationTable writes the results of experiments on the dissemination of changes, one per line.
+func DisseminationTable(out io.Writer, results []*dissemination.Result) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "scenario\tpolicy\trouters\tslowest s\tnever\tkB/s mean\tkB/s most\tremote kB/s\tCPU\tlate events\tunanswered\tof a value\t")
+	for _, r := range results {
+		never := 0
+		for _, v := range r.Versions {
+			never = max(never, v.Missing)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%d\t%.0f\t%.0f\t%.0f\t%.1f%%\t%d\t%d\t%.2f\t\n",
+			r.Scenario, r.Policy, r.Routers, r.Slowest().Seconds(), never, r.MeanBytes/1000, r.MaxBytes/1000, r.RemoteBytes/1000,
+			100*r.CPUShare, r.LateEvents, r.Unanswered, r.MostReceived)
+	}
+	_ = w.Flush()
+}
+
+// GenerationTable writes the results of simulated generations, one per line. Times are in seconds.
+func GenerationTable(out io.Writer, results []*generation.Result) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "scenario\tpolicy\trequests\tin time\tlost\trefused\tfirst p50\tfirst p90\tfirst p99\ttook mean\ttook p90\talone\tmeeting\t")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.1f%%\t%.1f%%\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f%%\t%.0f%%\t\n",
+			r.Scenario, r.Policy, r.Requests, 100*r.InTime, 100*r.Lost, r.Refused, r.FirstP50.Seconds(), r.FirstP90.Seconds(),
+			r.FirstP99.Seconds(), r.TookMean.Seconds(), r.TookP90.Seconds(), 100*r.Alone, 100*r.Colliding)
+	}
+	_ = w.Flush()
+}
+
 // hitRate formats the share of prefills that hit the prefix cache.
 func hitRate(r *load.Result) string {
 	if r.CacheHits+r.CacheMisses == 0 {
@@ -62,42 +81,3 @@
 	}
 	return nil
 }
-
-// Plot writes a bar chart for each deployment and shape to DIR/DEPLOYMENT-SHAPE.png: the 99th percentile of the completion
-// time of short work by policy.
-func Plot(dir string, results []*load.Result) error {
-	groups := make(map[string][]*load.Result)
-	for _, r := range results {
-		name := r.Deployment + "-" + r.Shape
-		groups[name] = append(groups[name], r)
-	}
-	for name, rows := range groups {
-		if err := plotBars(filepath.Join(dir, name+".png"), name, rows); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func plotBars(path, title string, rows []*load.Result) error {
-	p := plot.New()
-	p.Title.Text = title + ": short work, 99th percentile"
-	p.Y.Label.Text = "ms"
-	var values plotter.Values
-	var names []string
-	for _, r := range rows {
-		values = append(values, r.ShortP99)
-		names = append(names, string(r.Policy))
-	}
-	bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
-	if err != nil {
-		return fmt.Errorf("plot %s: %w", title, err)
-	}
-	bars.Color = color.Gray{96}
-	p.Add(bars)
-	p.NominalX(names...)
-	if err := p.Save(plotWidth, plotHeight, path); err != nil {
-		return fmt.Errorf("save %s: %w", path, err)
-	}
-	return nil
-}
--- a/core/dissemination/updates.go
+++ b/core/dissemination/updates.go
@@ -14,7 +14,7 @@
 	// updatesPerSecond is the number of updates that a router sends on average if its state changes all the time, and
 	// updateBurst the number that it sends at once after a pause. A small fleet learns of each change at once, and in a large one
 	// each router is told more rarely, for the same cost.
-	updatesPerSecond = 200
+	updatesPerSecond = 160
 	updateBurst      = 128
 	// minInterval is the least interval between two updates to the same router.
 	minInterval = 50 * time.Millisecond
