Late copies, oversized replies and reload faults in the shape with agents

Change: calls of plain services, engines and the platform's service have a connection each; limits on heads and bodies; the rest as named.

--- a/agent/engine/client.go
+++ b/agent/engine/client.go
@@ -24,8 +24,9 @@
 const (
 	// callTimeout bounds a request that cancels a run or lists the models.
 	callTimeout = 2 * time.Second
-	// idleConns is the number of idle connections kept for reuse.
-	idleConns = 64
+	// maxHeaderBytes bounds the header of a response, maxModelsBytes the list of models.
+	maxHeaderBytes = 64 << 10
+	maxModelsBytes = 1 << 20
 	// maxLineBytes bounds one line of the completion stream.
 	maxLineBytes = 1 << 20
 	streamPrefix = "data: "
@@ -40,9 +41,10 @@
 	http    *http.Client
 }
 
-// New returns a client for the engine at address, a base URL such as http://127.0.0.1:8001.
+// New returns a client for the engine at address, a base URL such as http://127.0.0.1:8001. Each request has its own
+// connection: responses do not say which request they answer, so that a late second copy of one would pass as the next.
 func New(address string) *Client {
-	return &Client{address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}}
+	return &Client{address, &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Run is the request for one generation. RequestID identifies the run for [Client.Cancel]; ResumeTokens are the tokens
@@ -178,7 +180,7 @@
 		Name    string `json:"name"`
 		Version string `json:"version"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&rows); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxModelsBytes)).Decode(&rows); err != nil {
 		return nil, fmt.Errorf("decode models: %w", err)
 	}
 	models := make([]ids.Model, 0, len(rows))
--- a/agent/plain/client.go
+++ b/agent/plain/client.go
@@ -18,10 +18,9 @@
 )
 
 const (
-	// maxReplyBytes is how much of a reply's body is read.
-	maxReplyBytes = 4 << 20
-	// idleConns is the number of idle connections kept for reuse.
-	idleConns = 64
+	// maxReplyBytes bounds the body of a reply, maxHeaderBytes its header.
+	maxReplyBytes  = 4 << 20
+	maxHeaderBytes = 64 << 10
 )
 
 // Client calls one service. It is safe for concurrent use.
@@ -32,9 +31,10 @@
 
 // New returns a client for the service at address, a base URL such as http://127.0.0.1:8101. The transport must not retry
 // a call by itself, as net/http does with a replayable request if the service has closed a keep-alive connection. Every call
-// is therefore sent with a body that cannot be replayed.
+// is therefore sent with a body that cannot be replayed. Each call has its own connection: replies do not say which call they
+// answer, so that a late second copy of one would pass as the reply to the next call.
 func New(address string) *Client {
-	return &Client{address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}}
+	return &Client{address, &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}}
 }
 
 // Request is the HTTP request of one call.
@@ -68,7 +68,10 @@
 		return ledger.Reply{}, classifyError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = fault.New(fault.ReplyTooLarge, "more than %d bytes", maxReplyBytes)
+	}
 	if err != nil {
 		return ledger.Reply{}, fault.Wrap(fault.CallOutcomeUnknown, err, "reading the reply")
 	}
--- /dev/null
+++ b/agent/plain/suite_test.go
@@ -0,0 +1,9 @@
+package plain_test
+
+import (
+	"testing"
+
+	"bilberrylug.dev/core/testkit"
+)
+
+func TestPlain(t *testing.T) { testkit.Run(t, "plain") }
--- a/agent/router/server_test.go
+++ b/agent/router/server_test.go
@@ -24,6 +24,7 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/kv/kvtest"
 	"bilberrylug.dev/core/ledgerstore"
@@ -127,6 +128,17 @@
 		Eventually(func() uint32 { return call(1, "slip", "call-2").GetStatus() }).Should(Equal(uint32(200)))
 		Expect(back.requests()).To(HaveLen(1))
 	})
+	It("leaves when it is drained, also if its service is not declared", func() {
+		config := activeconfig.New(true)
+		cfg := &declared.Config{Drained: []ids.VM{"u1"}}
+		set, err := cfg.Chunks()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = config.Accept((&declared.Head{}).Next(declared.Summary{}, set), set.Bodies)
+		Expect(err).NotTo(HaveOccurred())
+		undeclared := router.NewState(membership.Member{VM: "u1", Service: "desk"}, config, clock)
+		undeclared.ApplyConfig()
+		Expect(undeclared.Leaving()).To(BeTrue())
+	})
 	It("refuses work from senders with an older configuration, and all new work once it is leaving", func() {
 		Expect(call(0, "a", "1").GetFault().GetCode()).To(Equal(string(fault.StaleRevision)))
 		state.Leave()
--- a/agent/router/state.go
+++ b/agent/router/state.go
@@ -73,15 +73,16 @@
 // ApplyConfig applies the queue limits and the list of drained VMs of the active configuration.
 func (s *State) ApplyConfig() {
 	svc, err := s.Service()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A VM may be drained although its service is not declared, or no longer.
+	s.updateLeaving()
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.queue.SetLimits(queue.Limits{
 		Slots: svc.SlotsPerUpstream, MaxWaiting: svc.QueuePerUpstream, ReservedShortShare: svc.ReservedShortShare,
 	})
-	s.updateLeaving()
 }
 
 // updateLeaving sets the member state to leaving if any of the three causes applies: a graceful shutdown, a drain in the
--- a/core/kv/client.go
+++ b/core/kv/client.go
@@ -19,11 +19,10 @@
 const (
 	// callTimeout bounds a call; a watch may take its wait in addition.
 	callTimeout = 2 * time.Second
-	// maxBodyBytes bounds the body of a reply.
-	maxBodyBytes      = 8 << 20
-	sessionTTLParam   = "ttl"
-	storeIdleConns    = 16
-	storeIdleConnTime = time.Minute
+	// maxBodyBytes bounds the body of a reply, maxHeaderBytes its header.
+	maxBodyBytes    = 8 << 20
+	maxHeaderBytes  = 16 << 10
+	sessionTTLParam = "ttl"
 )
 
 // Options configure a [Client]. Address is the base URL of the service.
@@ -41,9 +40,10 @@
 
 var _ Store = (*Client)(nil)
 
-// New returns a client of the service at the given address.
+// New returns a client of the service at the given address. Each call has its own connection: replies do not say which call
+// they answer, so that a late second copy of one, such as the success of a write, would pass as the reply to the next call.
 func New(o Options) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: storeIdleConns, IdleConnTimeout: storeIdleConnTime}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{address: o.Address, limiter: o.Limiter, http: &http.Client{Transport: transport}}
 }
 
@@ -156,10 +156,13 @@
 		return nil, fmt.Errorf("call: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
+	if len(body) > maxBodyBytes {
+		return nil, fault.New(fault.ReplyTooLarge, "more than %d bytes", maxBodyBytes)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
--- a/core/rpc/doc.go
+++ b/core/rpc/doc.go
@@ -1,8 +1,8 @@
 // Package rpc provides the drpc connections between the processes of bilberrylug and their TLS configuration.
 //
 // A connection carries one call at a time, so a dialer keeps a pool per address. If the settings name TLS files, both
-// ends present a certificate signed by the common CA. The certificate and its key are reloaded when the certificate
-// file changes; the CA file is read once.
+// ends present a certificate signed by the common CA. The certificate and its key are reloaded when one of their files
+// changes; the CA file is read once.
 //
 // # Usage
 //
--- a/core/rpc/tls.go
+++ b/core/rpc/tls.go
@@ -11,23 +11,28 @@
 	"bilberrylug.dev/core/settings"
 )
 
-// keyPair reloads its files when the modification time of the certificate file changes.
+// keyPair reloads its files when the modification time of one of them changes.
 type keyPair struct {
 	files settings.TLS
 
-	mu       sync.Mutex
-	modified time.Time
-	cert     *tls.Certificate
+	mu sync.Mutex
+	// certModified and keyModified are the modification times of the files that were read last.
+	certModified, keyModified time.Time
+	cert                      *tls.Certificate
 }
 
 func (p *keyPair) load() (*tls.Certificate, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	info, err := os.Stat(p.files.CertFile)
+	certInfo, err := os.Stat(p.files.CertFile)
 	if err != nil {
 		return p.previous(err)
 	}
-	if p.cert != nil && info.ModTime().Equal(p.modified) {
+	keyInfo, err := os.Stat(p.files.KeyFile)
+	if err != nil {
+		return p.previous(err)
+	}
+	if p.cert != nil && certInfo.ModTime().Equal(p.certModified) && keyInfo.ModTime().Equal(p.keyModified) {
 		return p.cert, nil
 	}
 	cert, err := tls.LoadX509KeyPair(p.files.CertFile, p.files.KeyFile)
@@ -35,7 +40,7 @@
 		return p.previous(err)
 	}
 	p.cert = &cert
-	p.modified = info.ModTime()
+	p.certModified, p.keyModified = certInfo.ModTime(), keyInfo.ModTime()
 	return p.cert, nil
 }
 
@@ -112,7 +117,7 @@
 }
 
 // CallerConfig returns the TLS configuration of a listener for callers, who present no certificate. The files are
-// reloaded when the certificate file changes.
+// reloaded when one of them changes.
 func CallerConfig(certFile, keyFile string) *tls.Config {
 	pair := &keyPair{files: settings.TLS{CertFile: certFile, KeyFile: keyFile}}
 	return &tls.Config{
--- a/ctl/command/apply.go
+++ b/ctl/command/apply.go
@@ -21,7 +21,7 @@
 )
 
 // applyResult is the output of apply, drain and undrain. Behind lists the live VMs with an older revision and the routers
-// that did not answer; Active is the number of VMs that are not behind.
+// that did not answer; Active is the number of live VMs that are not behind.
 type applyResult struct {
 	Revision ids.Revision `json:"revision"`
 	ApplyID  string       `json:"apply_id"`
@@ -102,7 +102,7 @@
 		fleet := fleetstatus.Query(ctx, c.StringSlice("router"))
 		r.Behind = fleet.Behind(uint64(r.Revision))
 		r.Behind = append(r.Behind, fleet.Unanswered...)
-		r.Active = len(fleet.Members) - len(fleet.Behind(uint64(r.Revision)))
+		r.Active = fleet.Active(uint64(r.Revision))
 		if len(r.Behind) == 0 || !t.clock.Now().Before(deadline) {
 			return
 		}
--- a/ctl/fleetstatus/fleet.go
+++ b/ctl/fleetstatus/fleet.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -80,6 +81,20 @@
 	return out
 }
 
+// Active returns the number of live VMs whose active configuration is a revision or a newer one.
+func (f Fleet) Active(revision uint64) int {
+	n := 0
+	for _, m := range f.Members {
+		if m.State == "live" && m.Revision >= revision {
+			n++
+		}
+	}
+	return n
+}
+
+// maxStatusBytes bounds the status of a router.
+const maxStatusBytes = 16 << 20
+
 func fetchStatus(ctx context.Context, address string) (Status, error) {
 	var status Status
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
@@ -93,7 +108,7 @@
 		return status, fmt.Errorf("query router %s: %w", address, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status); err != nil {
 		return status, fmt.Errorf("decode status: %w", err)
 	}
 	return status, nil
--- a/router/answer/registry.go
+++ b/router/answer/registry.go
@@ -92,7 +92,7 @@
 // Start starts or resumes the answer of a journal and attaches the caller. For a new request that is already in progress
 // on this router, it returns the existing answer. A claimed journal instead replaces an older answer that this router still
 // holds, because the caller may have received tokens from another router that the old answer lacks. If Start returns a
-// fault of kind memory_limit, no answer was started.
+// fault of kind memory_limit, no answer was started or replaced.
 func (r *Registry) Start(j journal.Journal, witnesses []ids.VM) (*Answer, func(), error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -100,13 +100,13 @@
 	if found && j.Attempt == 0 {
 		return old, old.Attach(), nil
 	}
-	if found {
-		old.group.Cancel()
-	}
 	need := answerBytes(j.Prompt)
 	if r.reservedBytes+need > r.opts.MaxBytes {
 		return nil, nil, fault.New(fault.MemoryLimit, "%d bytes of answers are under way", r.reservedBytes)
 	}
+	if found {
+		old.group.Cancel()
+	}
 	a := r.newAnswer(j, witnesses)
 	r.answers[j.Key] = a
 	r.reservedBytes += need
--- a/router/answer/registry_test.go
+++ b/router/answer/registry_test.go
@@ -52,6 +52,15 @@
 		Expect(second).NotTo(BeIdenticalTo(first))
 		Eventually(func() error { return first.State().Fault }).Should(HaveOccurred())
 	})
+	It("keeps the answer that it holds if there is no memory for a claimed one", func() {
+		first, detach, err := r.Start(journal.Journal{Key: key, Prompt: journal.Prompt{MaxTokens: 3000}}, []ids.VM{"w1"})
+		Expect(err).NotTo(HaveOccurred())
+		defer detach()
+		_, _, err = r.Start(journal.Journal{Key: key, Attempt: ids.Attempt(0).NextEpoch(), Prompt: journal.Prompt{MaxTokens: 3000}}, []ids.VM{"w1"})
+		Expect(fault.CodeOf(err)).To(Equal(fault.MemoryLimit))
+		Eventually(func() error { return first.State().Fault }).Should(HaveOccurred())
+		Expect(fault.CodeOf(first.State().Fault)).To(Equal(fault.NoWitness), "it ends for its own reason, since there are no agents here")
+	})
 	It("refuses an answer that exceeds the memory limit and starts nothing", func() {
 		_, _, err := r.Start(journal.Journal{Key: key, Prompt: journal.Prompt{MaxTokens: 10_000}}, nil)
 		Expect(fault.CodeOf(err)).To(Equal(fault.MemoryLimit))
