A planned stop answers the requests that it accepted last

Cause: a stop that found no request running closed the callers' connections after 150 ms, whatever had been accepted since; a call of half a second was cut (test seen failing on the code before).

Change: from then on further requests are refused as not run, and those accepted before are waited for, up to the time of the stop.

--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -51,8 +51,10 @@
 	// shutdownMargin is the part of the shutdown time reserved for ending the process: drainTimeout, entryRevokeTimeout, and
 	// delays on a busy CPU.
 	shutdownMargin = 700 * time.Millisecond
-	// drainTimeout bounds the closing of the callers' connections.
-	drainTimeout = 150 * time.Millisecond
+	// drainTimeout is how long no request may have been running before the callers' connections are closed, and
+	// closePollInterval the interval at which that is checked.
+	drainTimeout      = 150 * time.Millisecond
+	closePollInterval = 10 * time.Millisecond
 	// entryRevokeTimeout bounds the removal of the router's entry from the store. An entry that is not removed expires with
 	// its lease.
 	entryRevokeTimeout = 100 * time.Millisecond
@@ -235,12 +237,24 @@
 	}
 }
 
-// closeCallers closes the callers' connections as they become idle, and waits up to drainTimeout for the active ones.
+// closeCallers accepts no further connections, closes the open ones as they become idle, and waits for the requests that were
+// accepted at the last moment, for as long as the graceful shutdown may take.
 func (a *App) closeCallers(callers *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	a.shutdown.close()
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		a.opts.Log.Write(event.Stopping, "cut", a.shutdown.active.Load(), "error", err.Error())
+	a.group.Go(func(context.Context) { _ = callers.Shutdown(ctx) })
+	idleSince := a.opts.Clock.Now()
+	for a.opts.Clock.Since(idleSince) < drainTimeout {
+		a.opts.Clock.Sleep(closePollInterval)
+		if a.shutdown.active.Load() == 0 {
+			continue
+		}
+		idleSince = a.opts.Clock.Now()
+		if s, stopping := a.shutdown.status(); !stopping || s.Remaining == 0 {
+			a.opts.Log.Write(event.Stopping, "cut", a.shutdown.active.Load())
+			return
+		}
 	}
 }
 
--- a/router/direct/hostile_test.go
+++ b/router/direct/hostile_test.go
@@ -105,6 +105,7 @@
 type testRouter struct {
 	*handler
 	address string
+	server  *httptest.Server
 	nextID  atomic.Int64
 }
 
@@ -142,7 +143,7 @@
 		server.Close()
 		g.Stop()
 	})
-	return &testRouter{handler: h, address: server.Listener.Addr().String()}
+	return &testRouter{handler: h, address: server.Listener.Addr().String(), server: server}
 }
 
 // register registers upstreams of a service.
--- a/router/direct/shutdown.go
+++ b/router/direct/shutdown.go
@@ -20,7 +20,7 @@
 		Long: x.route.Kind == routing.Streaming, Limit: x.remaining(),
 		Expected: x.tokenTime.GenerationTime(x.engineModel(), x.placementRequest()),
 	}
-	if s.Accepts(req, x.peers.AnyServing(now)) {
+	if !x.shutdown.closing.Load() && s.Accepts(req, x.peers.AnyServing(now)) {
 		return nil
 	}
 	f := fault.New(fault.RouterStopping, "shutdown ends in %s, request expected to take %s", s.Remaining, req.Expected)
--- /dev/null
+++ b/router/direct/shutdown_test.go
@@ -0,0 +1,60 @@
+package direct
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"bilberrylug.dev/core/group"
+)
+
+// stoppingRouter is a router whose graceful shutdown may take a time. Its calls take half a second.
+func stoppingRouter(left time.Duration) (*testRouter, *App, *http.Server) {
+	r := newTestRouter(0)
+	r.register("desk", newRawUpstream(func(w net.Conn, req *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		ok(w, req)
+	}))
+	r.shutdown.limit.Store(int64(left + shutdownMargin))
+	g := group.New(GinkgoTB().Context())
+	DeferCleanup(g.Stop)
+	a := &App{opts: Options{Clock: r.clock, Log: r.log}, shutdown: r.shutdown, group: g}
+	return r, a, r.server.Config
+}
+
+var _ = Describe("a planned stop", func() {
+	It("answers a request that was accepted just before the listener is closed", func() {
+		r, a, server := stoppingRouter(9 * time.Second)
+		r.shutdown.begin()
+		done := make(chan reply, 1)
+		go func() { done <- r.send(http.MethodPost, "/slip/a") }()
+		Eventually(r.shutdown.active.Load, time.Second, time.Millisecond).Should(BeEquivalentTo(1))
+		start := time.Now()
+		a.closeCallers(server)
+		_ = server.Close()
+		var got reply
+		Eventually(done).Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusOK))
+		Expect(got.whole).To(BeTrue())
+		Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+	})
+	It("refuses what arrives while it closes, as not run", func() {
+		r, a, _ := stoppingRouter(9 * time.Second)
+		r.shutdown.begin()
+		a.shutdown.close()
+		got := r.send(http.MethodPost, "/slip/a")
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	})
+	It("ends in time although a request is still running", func() {
+		r, a, server := stoppingRouter(200 * time.Millisecond)
+		go r.send(http.MethodGet, "/look/a")
+		Eventually(r.shutdown.active.Load, time.Second, time.Millisecond).Should(BeEquivalentTo(1))
+		r.shutdown.begin()
+		start := time.Now()
+		a.closeCallers(server)
+		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
+	})
+})
--- a/router/direct/shutdown_tracker.go
+++ b/router/direct/shutdown_tracker.go
@@ -13,6 +13,8 @@
 type shutdownTracker struct {
 	clock   clockwork.Clock
 	beganAt atomic.Pointer[time.Time]
+	// closing is set once no further requests are accepted.
+	closing atomic.Bool
 	active  atomic.Int64
 	// limit bounds a graceful shutdown, in nanoseconds.
 	limit atomic.Int64
@@ -27,6 +29,9 @@
 	s.beganAt.Store(&now)
 }
 
+// close makes the router refuse all further requests.
+func (s *shutdownTracker) close() { s.closing.Store(true) }
+
 // stopping reports whether the graceful shutdown has begun.
 func (s *shutdownTracker) stopping() bool { return s.beganAt.Load() != nil }
 
