--- a/router/app/app.go
+++ b/router/app/app.go
@@ -23,6 +23,7 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/httpclose"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/kv"
 	"bilberrylug.dev/core/ledgerstore"
@@ -218,7 +219,7 @@
 	a.log.Write(event.Started, "listen", a.cfg.Listen, "callers", a.cfg.Callers)
 	select {
 	case <-ctx.Done():
-		a.shutdown()
+		a.shutdown(callers)
 	case err = <-failed:
 	}
 	_ = callers.Close()
@@ -248,7 +249,7 @@
 
 // shutdown is the graceful shutdown: it makes the router unready, so that the load balancer stops sending requests, and
 // waits for the running requests to finish.
-func (a *App) shutdown() {
+func (a *App) shutdown(callers *http.Server) {
 	a.log.Write(event.Stopping)
 	a.caller.Stop()
 	a.view.Update(func(t *membership.Table) {
@@ -262,4 +263,10 @@
 		}
 		a.clock.Sleep(shutdownPollInterval)
 	}
+	cut := httpclose.Close(callers, httpclose.Options{
+		Clock: a.clock, Group: a.group, Active: func() int64 { return int64(a.caller.Active()) }, Left: func() time.Duration { return shutdownTimeout - a.clock.Since(start) },
+	})
+	if cut > 0 {
+		a.log.Write(event.Stopping, "cut", cut)
+	}
 }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -24,6 +24,7 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
+	"bilberrylug.dev/core/httpclose"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/relay"
@@ -48,13 +49,9 @@
 	expireInterval = 200 * time.Millisecond
 	// shutdownPollInterval is the interval at which a graceful shutdown checks for running requests.
 	shutdownPollInterval = 50 * time.Millisecond
-	// shutdownMargin is the part of the shutdown time reserved for ending the process: drainTimeout, entryRevokeTimeout, and
-	// delays on a busy CPU.
+	// shutdownMargin is the part of the shutdown time reserved for ending the process: the closing of connections,
+	// entryRevokeTimeout, and delays on a busy CPU.
 	shutdownMargin = 700 * time.Millisecond
-	// drainTimeout is how long no request may have been running before the callers' connections are closed, and
-	// closePollInterval the interval at which that is checked.
-	drainTimeout      = 150 * time.Millisecond
-	closePollInterval = 10 * time.Millisecond
 	// entryRevokeTimeout bounds the removal of the router's entry from the store. An entry that is not removed expires with
 	// its lease.
 	entryRevokeTimeout = 100 * time.Millisecond
@@ -174,7 +171,7 @@
 	}
 	a.closeCallers(callers)
 	a.opts.Log.Write(event.Stopped, "active", a.shutdown.active.Load())
-	for _, s := range []*http.Server{callers, readiness, metrics} {
+	for _, s := range []*http.Server{readiness, metrics} {
 		_ = s.Close()
 	}
 	a.group.Stop()
@@ -241,20 +238,14 @@
 // accepted at the last moment, for as long as the graceful shutdown may take.
 func (a *App) closeCallers(callers *http.Server) {
 	a.shutdown.close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	a.group.Go(func(context.Context) { _ = callers.Shutdown(ctx) })
-	idleSince := a.opts.Clock.Now()
-	for a.opts.Clock.Since(idleSince) < drainTimeout {
-		a.opts.Clock.Sleep(closePollInterval)
-		if a.shutdown.active.Load() == 0 {
-			continue
-		}
-		idleSince = a.opts.Clock.Now()
-		if s, stopping := a.shutdown.status(); !stopping || s.Remaining == 0 {
-			a.opts.Log.Write(event.Stopping, "cut", a.shutdown.active.Load())
-			return
-		}
+	cut := httpclose.Close(callers, httpclose.Options{
+		Clock: a.opts.Clock, Group: a.group, Active: a.shutdown.active.Load, Left: func() time.Duration {
+			s, _ := a.shutdown.status()
+			return s.Remaining
+		},
+	})
+	if cut > 0 {
+		a.opts.Log.Write(event.Stopping, "cut", cut)
 	}
 }
 
--- a/router/direct/shutdown_test.go
+++ b/router/direct/shutdown_test.go
@@ -34,7 +34,6 @@
 		Eventually(r.shutdown.active.Load, time.Second, time.Millisecond).Should(BeEquivalentTo(1))
 		start := time.Now()
 		a.closeCallers(server)
-		_ = server.Close()
 		var got reply
 		Eventually(done).Should(Receive(&got))
 		Expect(got.status).To(Equal(http.StatusOK))
