--- a/bench/slopes/call_test.go
+++ b/bench/slopes/call_test.go
@@ -43,7 +43,9 @@
 	})
 	g := group.New(ctx)
 	defer g.Stop()
-	g.Go(func(ctx context.Context) { _ = rpc.Serve(ctx, listener, settings.TLS{}, func(any, []byte) {}, server.Register) })
+	g.Go(func(ctx context.Context) {
+		_ = rpc.Serve(ctx, listener, settings.TLS{}, func(any, []byte) {}, server.Register)
+	})
 	var members []membership.Member
 	for i := range 3580 {
 		members = append(members, member(i))
--- a/bench/slopes/propagation_test.go
+++ b/bench/slopes/propagation_test.go
@@ -61,7 +61,9 @@
 	}
 	server := peer.NewServer(o)
 	r.exchange = peer.NewExchange(o)
-	g.Go(func(ctx context.Context) { _ = rpc.Serve(ctx, listener, settings.TLS{}, func(any, []byte) {}, server.Register) })
+	g.Go(func(ctx context.Context) {
+		_ = rpc.Serve(ctx, listener, settings.TLS{}, func(any, []byte) {}, server.Register)
+	})
 	g.Go(r.exchange.Run)
 	return r, address
 }
