Blocks without data, repeated events and split lines are no progress of a stream

Cause: the extended soak showed an upstream that sends a comment and a blank line now and then. The reader returned each such block as an event, so the stream counted as alive until the route's time was over. An event sent again, a type without data and blank lines did the same. The reader also took the rest of a line longer than its buffer of 4,096 bytes for a line: a rest that was empty ended the event early, one that began with id: set its ID. Change: a block is an event if it has data or an ID; others come with the next event, within its limit. An upstream that repeats an ID has failed its run.

--- a/core/sse/reader.go
+++ b/core/sse/reader.go
@@ -18,8 +18,10 @@
 	"strconv"
 )
 
-// Event is a server-sent event with its raw bytes, including the blank line that ends it.
+// Event is a server-sent event.
 type Event struct {
+	// Raw holds the event's bytes, including the blank line that ends it and what came before it that is no event: comments,
+	// and blocks with neither data nor an ID. After the last event, an Event may hold nothing but such blocks.
 	Raw []byte
 	// ID is the event's numeric ID, if HasID is set.
 	ID    uint64
@@ -51,28 +53,48 @@
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	e := Event{}
+	// continued is set while the rest of a line is read that is longer than the buffer. isEvent is set once there is data or an
+	// ID, blockEnded after a blank line.
+	var continued, isEvent, blockEnded bool
 	for {
 		line, err := r.br.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
 		if len(r.raw) > r.maxBytes {
 			return Event{}, ErrTooLong
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
+		partial := errors.Is(err, bufio.ErrBufferFull)
+		if err != nil && !partial {
+			if errors.Is(err, io.EOF) && blockEnded && len(line) == 0 {
+				e.Raw = r.raw
+				return e, nil
+			}
 			return Event{}, r.endError(err)
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
+		line = bytes.TrimRight(line, "\r\n")
+		blockEnded = !continued && !partial && len(line) == 0
+		if blockEnded && isEvent {
 			e.Raw = r.raw
 			return e, nil
 		}
-		if value, ok := bytes.CutPrefix(trimmed, []byte("id:")); ok {
-			n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-			e.ID, e.HasID = n, err == nil
+		if !continued {
+			isEvent = e.readField(line) || isEvent
 		}
+		continued = partial
+	}
+}
+
+// readField reads a line, and reports whether it is data or an ID.
+func (e *Event) readField(line []byte) bool {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data":
+		return true
+	case "id":
+		n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+		e.ID, e.HasID = n, err == nil
+		return e.HasID
 	}
+	return false
 }
 
 func (r *Reader) endError(err error) error {
--- a/core/sse/reader_test.go
+++ b/core/sse/reader_test.go
@@ -45,6 +45,35 @@
 			Expect(ids).To(HaveLen(n))
 		})
 	})
+	It("returns what has neither data nor an ID with the event that follows it, or at the end", func() {
+		stream := ": a\n\n\nretry: 7\n\nid: 1\ndata: a\n\nevent: end\n\n"
+		reader := sse.NewReader(strings.NewReader(stream), 1<<20)
+		e, err := reader.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(e.Raw)).To(Equal(": a\n\n\nretry: 7\n\nid: 1\ndata: a\n\n"))
+		Expect(e.HasID).To(BeTrue())
+		e, err = reader.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(e.Raw)).To(Equal("event: end\n\n"))
+		_, err = reader.Next()
+		Expect(err).To(MatchError(io.EOF))
+	})
+	It("does not take the rest of a line that is longer than its buffer for a line", func() {
+		for _, rest := range []string{"", "id: 7", "data: b"} {
+			for length := 4090; length < 4100; length++ {
+				whole := "id: 1\ndata: a" + strings.Repeat("x", length-7) + rest + "\nevent: a\n\n"
+				reader := sse.NewReader(strings.NewReader(whole), 1<<20)
+				e, err := reader.Next()
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(e.Raw)).To(Equal(whole))
+				Expect(e.ID).To(Equal(uint64(1)))
+			}
+		}
+	})
+	It("rejects comments without an end", func() {
+		_, _, err := read(strings.NewReader(strings.Repeat(": a\n\n", 1<<20)))
+		Expect(err).To(MatchError(sse.ErrTooLong))
+	})
 	It("never returns a part of an event when the stream breaks off", func() {
 		whole := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 		for cut := range len(whole) {
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -88,6 +88,9 @@
 		if err != nil {
 			return cause(s.ctx, err)
 		}
+		if err := r.observeID(e); err != nil {
+			return err
+		}
 		if first {
 			s.recordFirstEvent(r)
 		}
--- a/router/direct/hostile_test.go
+++ b/router/direct/hostile_test.go
@@ -366,6 +366,10 @@
 			Expect(got.took).To(BeNumerically("<", 6*time.Second))
 		},
 		Entry("comment lines", "2\r\n:\n\r\n"),
+		Entry("comments with a blank line each", "4\r\n: \n\n\r\n"),
+		Entry("blank lines", "1\r\n\n\r\n"),
+		Entry("types without data", "9\r\nevent: a\n\r\n1\r\n\n\r\n"),
+		Entry("an event that it sent before", "e\r\nid: 1\ndata: 1\n\r\n1\r\n\n\r\n"),
 		Entry("a chunk size that does not end", "0"),
 		Entry("an event that does not end", "1\r\nx\r\n"),
 		Entry("blank lines of a chunk extension", "1;a\r\nx\r\n"),
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -33,11 +33,29 @@
 	slowness float64
 	placedAt time.Time
 	stall    stallDetector
+	// lastID is the ID of the last event that the upstream sent, if hasID is set.
+	lastID uint64
+	hasID  bool
 	// paceCheckedAt and paceCheckedEvents are the time and the number of events at the last check of the output rate.
 	paceCheckedAt     time.Time
 	paceCheckedEvents int
 }
 
+// observeID returns an error if an event's ID does not follow those of the run's earlier events.
+func (r *run) observeID(e sse.Event) error {
+	if !e.HasID {
+		return nil
+	}
+	if r.hasID && e.ID <= r.lastID {
+		return errRepeats
+	}
+	r.lastID, r.hasID = e.ID, true
+	return nil
+}
+
+// errRepeats ends a run whose upstream sends an event again, which is no progress.
+var errRepeats = errors.New("the upstream repeats an event")
+
 var errNoUpstream = errors.New("no upstream is available")
 
 // runOnce places the generation on an upstream and runs it there. A nil error means that the caller has the final answer.
@@ -97,7 +115,7 @@
 		s.avoidDomain(r.upstream.Domain)
 	case errors.Is(err, errUnreachable):
 		s.abandon(r, err)
-	case errors.Is(err, sse.ErrTooLong), fault.CodeOf(err) == fault.ReplyTooLarge:
+	case errors.Is(err, sse.ErrTooLong), errors.Is(err, errRepeats), fault.CodeOf(err) == fault.ReplyTooLarge:
 		s.tried[r.upstream.ID] = true
 		s.recordFailure(r)
 	case s.failedAlive[r.upstream.ID] || !s.prober.alive(r.upstream):
