--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -147,7 +147,7 @@
 		}
 		a.group.Go(func(context.Context) { serve(server, l, failed) })
 	}
-	peers, err := listen(ctx, a.cfg.Peers)
+	peers, err := listen(ctx, a.cfg.peersListen())
 	if err != nil {
 		return err
 	}
--- a/router/direct/settings.go
+++ b/router/direct/settings.go
@@ -24,8 +24,10 @@
 	// Callers is the host:port for callers, Readiness the one for the load balancer's readiness checks.
 	Callers   string `yaml:"callers"`
 	Readiness string `yaml:"readiness"`
-	// Peers is the host:port for other routers.
-	Peers string `yaml:"peers"`
+	// Peers is the host:port at which other routers reach this one. PeersListen is the one that the process listens on, if it
+	// differs, as behind a mapped port.
+	Peers       string `yaml:"peers"`
+	PeersListen string `yaml:"peers_listen"`
 	// Seeds are the peer addresses of some routers, which are contacted until the store lists the others.
 	Seeds []string `yaml:"seeds"`
 	// MetricsPort is the port for the metrics.
@@ -98,7 +100,11 @@
 // Check implements [settings.Checker].
 func (s Settings) Check() error {
 	for _, a := range []struct{ name, value string }{
-		{"callers", s.Callers}, {"readiness", s.Readiness}, {"peers", s.Peers}, {"store.address", s.Store.Address},
+		{"callers", s.Callers},
+		{"readiness", s.Readiness},
+		{"peers", s.Peers},
+		{"peers_listen", s.peersListen()},
+		{"store.address", s.Store.Address},
 	} {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return fault.Wrap(fault.SettingsInvalid, err, "%s must be host:port", a.name)
@@ -123,6 +129,9 @@
 	return nil
 }
 
+// peersListen returns the host:port to listen on for other routers.
+func (s Settings) peersListen() string { return cmp.Or(s.PeersListen, s.Peers) }
+
 // bytesPerMegabit converts a rate in megabits to one in bytes.
 const bytesPerMegabit = 1e6 / 8
 
