--- /dev/null
+++ b/router/direct/call_retry.go
@@ -0,0 +1,69 @@
+package direct
+
+import (
+	"errors"
+	"time"
+
+	"bilberrylug.dev/core/fault"
+)
+
+// countRefusal counts an attempt that did not run.
+func (x *exchange) countRefusal(err error) {
+	if !errors.Is(err, errNotRun) && !errors.Is(err, errAddressReused) {
+		return
+	}
+	x.refusals++
+	if !errors.Is(err, errNotSent) {
+		x.notRun++
+	}
+}
+
+// runs returns the number of upstreams that may have run the request.
+func (x *exchange) runs() int { return x.attempts - x.notRun }
+
+// checkRetry returns nil if a failed request may be sent again, and charges the retry to the retry budget. Otherwise it
+// returns the final fault, with the given code if the attempts or the budget are used up.
+func (x *exchange) checkRetry(err error, exhausted fault.Code) error {
+	if x.remaining() < minAnswerTime {
+		return x.deadlineError()
+	}
+	if x.mayHaveRun && !x.route.Retryable() {
+		return fault.Wrap(fault.CallOutcomeUnknown, err, "sent once")
+	}
+	if x.refusals >= maxRefusals || x.runs() >= x.route.MaxAttempts {
+		return fault.Wrap(exhausted, err, "after %d attempts", x.attempts)
+	}
+	if x.attempts > 0 && !x.retryGranted && !x.allowRetry(x.service.Name) {
+		return fault.Wrap(exhausted, err, "retry budget used up")
+	}
+	x.retryGranted = false
+	return nil
+}
+
+// deadlineError returns the fault for a request whose deadline has passed.
+func (x *exchange) deadlineError() error {
+	code := fault.DeadlineExceeded
+	if x.mayHaveRun {
+		code = fault.TimedOut
+	}
+	return fault.New(code, "after %s", x.clock.Since(x.arrivedAt))
+}
+
+// noUpstreamError returns the fault for a request whose service has no available upstream.
+func (x *exchange) noUpstreamError() *fault.Error {
+	f := fault.New(fault.NoUpstream, "service %s", x.service.Name)
+	f.Kind.RetryAfter = upstreamRetryAfter
+	return f
+}
+
+// upstreamRetryAfter is the Retry-After for a service without upstreams. One is likely to be available again by then, since
+// lost upstreams are probed once a second.
+const upstreamRetryAfter = 500 * time.Millisecond
+
+// maxRefusals is the number of refused attempts after which the request itself is refused.
+const maxRefusals = 6
+
+// mayRetry reports whether the request may be sent again after an upstream has run it.
+func (x *exchange) mayRetry() bool {
+	return x.route.Retryable() && x.runs() < x.route.MaxAttempts
+}
--- a/router/upstream/conn.go
+++ b/router/upstream/conn.go
@@ -30,6 +30,9 @@
 	// headerLeft is the number of bytes that may still be read of a response header, or unlimited.
 	headerLeft int64
 	onStall    StallFunc
+	// stallErr is the error of the stall function, which all later reads return: net/textproto ignores an error of a read that
+	// follows a part of a line.
+	stallErr error
 	// stallCheckDue is set while a requested stall check has not been made yet.
 	stallCheckDue atomic.Bool
 }
--- a/router/upstream/conn_test.go
+++ b/router/upstream/conn_test.go
@@ -200,4 +200,30 @@
 			conn.Close()
 		}
 	})
+	DescribeTable("ends a request at the first error of the stall function",
+		func(sent string) {
+			address := peer(func(w io.Writer, _ *http.Request) { _, _ = io.WriteString(w, sent); time.Sleep(2 * time.Second) })
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			conn, err := newPool().Get(ctx, address, "a")
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			hung := errors.New("hung")
+			decided := false
+			conn.SetStallFunc(func(idle time.Duration) (time.Duration, error) {
+				if idle >= 100*time.Millisecond && !decided {
+					decided = true
+					return 0, hung
+				}
+				return 100 * time.Millisecond, nil
+			})
+			_, err = conn.Do(ctx, request("a"))
+			Expect(errors.Is(err, hung)).To(BeTrue(), "%v", err)
+		},
+		Entry("before the header", ""),
+		Entry("in the status line", "HTTP/1.1 200"),
+		Entry("after the status line", "HTTP/1.1 200 OK\r\n"),
+		Entry("in a field", "HTTP/1.1 200 OK\r\nX: y"),
+		Entry("after a field", "HTTP/1.1 200 OK\r\nX: y\r\n"),
+	)
 })
--- a/router/upstream/stall_func.go
+++ b/router/upstream/stall_func.go
@@ -9,7 +9,7 @@
 )
 
 // StallFunc decides how long a read may stall. It is called with the time for which the read has received no data, and
-// returns the time until its next call, or the error with which the read fails.
+// returns the time until its next call, or the error with which this read and all later ones fail.
 type StallFunc func(idle time.Duration) (time.Duration, error)
 
 // SetStallFunc makes reads call f before they start and whenever no data arrives within the time that f returned. A nil f
@@ -47,12 +47,16 @@
 	if c.onStall == nil {
 		return c.Conn.Read(p)
 	}
+	if c.stallErr != nil {
+		return 0, c.stallErr
+	}
 	start := c.pool.clock.Now()
 	for {
 		now := c.pool.clock.Now()
 		c.stallCheckDue.Store(false)
 		wait, err := c.onStall(now.Sub(start))
 		if err != nil {
+			c.stallErr = err
 			return 0, err
 		}
 		if err := c.SetReadDeadline(now.Add(wait)); err != nil {
