--- a/router/direct/responses_test.go
+++ b/router/direct/responses_test.go
@@ -7,9 +7,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 )
 
 // ok answers a call.
