Copies that were ordered are freed when their generation ends

Change: the call that frees it, at the engine that made it, else at its host, once the answer is complete or its caller has left. EV4312, EV4313. Test: e2e 'leaves no ordered copy', both entries failed before.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -50,6 +50,8 @@
 	RequestWaiting      = Kind{"EV4308", slog.LevelInfo, "request waits for the router's configuration", noAction}
 	PromptsReceived     = Kind{"EV4309", slog.LevelInfo, "another router reported which engines have prompts cached", noAction}
 	TimeLimitFailed     = Kind{"EV4310", slog.LevelInfo, "time limit of a caller's connection could not be set", "None; the request is served without it."}
+	CopyFreed           = Kind{"EV4312", slog.LevelInfo, "copy of a generation's KV cache freed", noAction}
+	CopyNotFreed        = Kind{"EV4313", slog.LevelInfo, "freeing a copy of a generation's KV cache failed", "None; the upstream frees it after a few seconds."}
 	CallerClosed        = Kind{"EV4311", slog.LevelInfo, "connection of a caller closed at a time limit", "None; the limits are those of the configuration."}
 	CallUnknown         = Kind{"EV5001", slog.LevelWarn, "outcome of a call is unknown", "Look up the record at the service by its idempotency key."}
 	CallCancelled       = Kind{"EV5002", slog.LevelInfo, "call cancelled through the ledger", noAction}
@@ -67,7 +69,7 @@
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamRecovered, PeerChanged, UpstreamSlow, UpstreamFailing,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
-	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnded, CopyCreated, CopyFailed, PromptListFailed, RequestWaiting, PromptsReceived, TimeLimitFailed, CallerClosed,
+	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnded, CopyCreated, CopyFailed, CopyFreed, CopyNotFreed, PromptListFailed, RequestWaiting, PromptsReceived, TimeLimitFailed, CallerClosed,
 	CallUnknown, CallCancelled, LedgerWriteLost,
 	LeaseAcquired, LeaseLost, OrderGiven, OrderRefused,
 }
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -111,6 +111,8 @@
 	CopyCall(run ids.Request, to string) Call
 	// CopyName decodes the name of the copy from the reply to that call.
 	CopyName(body []byte) (string, error)
+	// FreeCopyCall returns the call that frees the copy of that name, at the upstream that made it or at the one that holds it.
+	FreeCopyCall(name string) Call
 	// PromptsCall returns the call that lists the prompts in an engine's KV cache.
 	PromptsCall() Call
 	// Prompts decodes the names of the prompts from the reply to that call.
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -18,6 +18,8 @@
 	copyRefreshInterval = 2500 * time.Millisecond
 	// copyTimeout bounds one transfer, including its wait for other transfers on the same links.
 	copyTimeout = 2 * time.Second
+	// copyFreeTimeout bounds a call that frees a copy.
+	copyFreeTimeout = 500 * time.Millisecond
 	// copyRetryDelay is the pause after a failed transfer.
 	copyRetryDelay = 300 * time.Millisecond
 )
@@ -109,7 +111,7 @@
 		return err
 	}
 	c.s.mu.Lock()
-	c.ordered = &kvCopy{host: to, ref: relay.Copy{Address: c.r.upstream.Address, Name: name}}
+	c.ordered = &kvCopy{host: to, ref: relay.Copy{Address: c.r.upstream.Address, Name: name}, source: c.r.upstream, ordered: true}
 	c.orderedAt = c.s.clock.Now()
 	c.s.mu.Unlock()
 	c.s.log.Write(event.CopyCreated, "request", c.s.req.ID, "upstream", c.r.upstream.ID, "copy_at", to.ID)
@@ -147,3 +149,29 @@
 	}
 	return c.s.dialect.CopyName(body)
 }
+
+// freeCopy frees an ordered copy that is no longer needed, which would take memory and a slot at its host until it expires. The
+// call to the upstream that made the copy frees what both hold; if that fails, the host is called.
+func (s *stream) freeCopy(k *kvCopy) {
+	if k == nil || !k.ordered {
+		return
+	}
+	s.prober.group.Go(func(ctx context.Context) {
+		err := s.callToFree(ctx, k, k.source)
+		if err != nil {
+			err = s.callToFree(ctx, k, k.host)
+		}
+		if err != nil {
+			s.log.Write(event.CopyNotFreed, "request", s.req.ID, "copy_at", k.host.ID, "error", err.Error())
+			return
+		}
+		s.log.Write(event.CopyFreed, "request", s.req.ID, "copy_at", k.host.ID)
+	})
+}
+
+func (s *stream) callToFree(ctx context.Context, k *kvCopy, u fleet.Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, copyFreeTimeout)
+	defer cancel()
+	_, _, err := s.controlCall(ctx, u, s.dialect.FreeCopyCall(k.ref.Name))
+	return err
+}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -17,6 +17,9 @@
 type kvCopy struct {
 	host fleet.Upstream
 	ref  relay.Copy
+	// source is the upstream that made the copy by a call, if ordered is set.
+	source  fleet.Upstream
+	ordered bool
 }
 
 // run is one attempt at the generation on one upstream.
@@ -85,6 +88,7 @@
 	s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID)
 	if err == nil {
 		conn.Release()
+		s.freeCopy(c.latest())
 		return nil
 	}
 	conn.Close()
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -54,6 +54,7 @@
 		failedDomains: map[ids.FailureDomain]bool{}, failedAlive: map[ids.VM]bool{},
 		placementReq: x.placementRequest(),
 	}
+	defer func() { s.freeCopy(s.resumeCopy) }()
 	for {
 		err := s.runOnce()
 		if err == nil {
