Routers tell one another whose address another upstream has

The new IDs that may be adopted were broadcast for 1 s, though a router on a small link may want updates every 2 s. Change: state updates carry the IDs of upstreams that were replaced, for 3 s.

--- a/router/direct/availability.go
+++ b/router/direct/availability.go
@@ -96,7 +96,8 @@
 	st.log.Write(event.UpstreamRecovered, "upstream", u.ID, "lost_for", st.clock.Since(u.LostAt()).String())
 }
 
-// renamedUpstream records that the upstream at an address now answers with another ID.
+// renamedUpstream records that the address of an upstream now answers with another ID. An empty newID says that the upstream
+// there may be one of another service.
 type renamedUpstream struct {
 	oldID, newID ids.VM
 	renamedAt    time.Time
@@ -108,13 +109,16 @@
 	now := st.clock.Now()
 	adopted := locked(&st.mu, func() bool {
 		adopted := st.fleet.AdoptID(u.ID, newID, now, st.addressReuse)
+		r := renamedUpstream{oldID: u.ID, renamedAt: now}
 		if adopted {
-			st.renamed = append(st.renamed, renamedUpstream{oldID: u.ID, newID: newID, renamedAt: now})
+			r.newID = newID
 		}
+		st.renamed = append(st.renamed, r)
 		return adopted
 	})
 	if !adopted {
 		st.dropUpstream(u)
+		st.broadcastSoon()
 		return
 	}
 	st.pool.CloseIdle(u.Address)
@@ -123,10 +127,20 @@
 }
 
 // dropUpstream removes an upstream whose address is in use by another one.
-func (st *state) dropUpstream(u fleet.Upstream) {
+func (st *state) dropUpstream(u fleet.Upstream, args ...any) {
 	st.mu.Lock()
 	st.fleet.Forget(u.ID, u.Started)
 	st.mu.Unlock()
 	st.pool.CloseIdle(u.Address)
-	st.log.Write(event.UpstreamLost, "upstream", u.ID, "reason", "address in use by another upstream")
+	st.log.Write(event.UpstreamLost, append([]any{"upstream", u.ID, "reason", "address in use by another upstream"}, args...)...)
+}
+
+// dropReplaced removes an upstream of which another router reports that its address is in use by another one.
+func (st *state) dropReplaced(id, toldBy ids.VM) {
+	st.mu.Lock()
+	u, known := st.fleet.Get(id)
+	st.mu.Unlock()
+	if known {
+		st.dropUpstream(u, "told_by", toldBy)
+	}
 }
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -67,7 +67,7 @@
 	recordedPrompts promptLog
 	// addressReuse is how long the address of an ended upstream is not given to another service.
 	addressReuse time.Duration
-	// renamed holds the upstreams that recently answered with another ID.
+	// renamed holds the upstreams whose addresses recently answered with another ID.
 	renamed []renamedUpstream
 	// peers tracks which other routers serve and which are stopping.
 	peers *shutdown.Fleet
--- a/router/direct/updates.go
+++ b/router/direct/updates.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// renamedBroadcastTime is how long the new ID of an upstream is broadcast.
-	renamedBroadcastTime = time.Second
+	// identityBroadcastTime is how long it is broadcast that an upstream's address answers with another ID. It exceeds the
+	// longest interval of updates.
+	identityBroadcastTime = 3 * time.Second
 	// lostBroadcastTime is how long the loss of an upstream is broadcast.
 	lostBroadcastTime = 300 * time.Millisecond
 )
@@ -68,8 +69,12 @@
 	for service, c := range st.budget.OwnCounts(now) {
 		n.Counts = append(n.Counts, &wire.Counts{Service: string(service), Requests: uint32(c.Requests), Repeats: uint32(c.Retries)})
 	}
-	st.renamed = slices.DeleteFunc(st.renamed, func(r renamedUpstream) bool { return now.Sub(r.renamedAt) > renamedBroadcastTime })
+	st.renamed = slices.DeleteFunc(st.renamed, func(r renamedUpstream) bool { return now.Sub(r.renamedAt) > identityBroadcastTime })
 	for _, r := range st.renamed {
+		if r.newID == "" {
+			n.Replaced = append(n.Replaced, string(r.oldID))
+			continue
+		}
 		n.Renamed = append(n.Renamed, &wire.RenamedUpstream{Old: string(r.oldID), Name: string(r.newID)})
 	}
 	return n
@@ -96,6 +101,9 @@
 		}
 	}
 	st.applyReport(n, work, calls, slow, failing)
+	for _, id := range n.GetReplaced() {
+		st.dropReplaced(ids.VM(id), ids.VM(n.GetSender()))
+	}
 	for _, l := range n.GetLost() {
 		st.markSuspected(ids.VM(l.GetUpstream()), l.GetStarted())
 	}
