--- a/router/direct/answer_memory.go
+++ b/router/direct/answer_memory.go
@@ -35,11 +35,15 @@
 
 // acquire reserves memory and reports whether there was enough.
 func (m *answerMemory) acquire(bytes int64) bool {
-	if m.used.Add(bytes) <= m.limit {
-		return true
+	for {
+		used := m.used.Load()
+		if used+bytes > m.limit {
+			return false
+		}
+		if m.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
 	}
-	m.used.Add(-bytes)
-	return false
 }
 
 func (m *answerMemory) release(bytes int64) { m.used.Add(-bytes) }
