--- a/core/dissemination/peer.go
+++ b/core/dissemination/peer.go
@@ -19,6 +19,15 @@
 	rateWeight = 0.3
 )
 
+// The penalties order the peers to pull or fetch from; equal ones are ordered at random. A peer that has failed several times in a
+// row counts as one that has failed maxCountedFailures times.
+const (
+	otherDomainPenalty = 1
+	narrowPenalty      = 2
+	failurePenalty     = 4
+	maxCountedFailures = 2
+)
+
 // backoff is the state of retries after failures in a row. The zero value allows a try at once.
 type backoff struct {
 	failures int
@@ -137,13 +146,12 @@
 		}
 		score := n.rng.Float64()
 		if p.status.Narrow {
-			score += 2
+			score += narrowPenalty
 		}
 		if p.status.Domain != n.o.Domain {
-			score++
+			score += otherDomainPenalty
 		}
-		// Peers that failed before come last.
-		score += 4 * float64(min(p.bulk.failures, 2))
+		score += failurePenalty * float64(min(p.bulk.failures, maxCountedFailures))
 		if best.peer == nil || score < bestScore {
 			best, bestScore = candidate{vm, p}, score
 		}
