--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -37,8 +37,8 @@
 	backup    *kvCopy
 	ordered   *kvCopy
 	orderedAt time.Time
-	// ordering is set once the first copy has been lost and replacements are ordered.
-	ordering bool
+	// ordered copies are made until the run ends; stopped is closed then. It is nil until the first copy has been lost.
+	stopped chan struct{}
 }
 
 func newCopier(s *stream, r *run) *copier {
@@ -74,18 +74,19 @@
 		return
 	}
 	c.backup = nil
-	if c.ordering {
+	if c.stopped != nil {
 		return
 	}
-	c.ordering = true
-	c.s.prober.group.Go(func(context.Context) { c.run() })
+	c.stopped = make(chan struct{})
+	c.s.prober.group.Go(c.run)
 }
 
 // run orders copies and refreshes them until the generation's run ends.
-func (c *copier) run() {
+func (c *copier) run(ctx context.Context) {
+	defer close(c.stopped)
 	for c.ctx.Err() == nil {
 		pause := copyRefreshInterval
-		if err := c.orderCopy(); err != nil {
+		if err := c.orderCopy(ctx); err != nil {
 			pause = copyRetryDelay
 			c.s.log.Write(event.CopyFailed, "request", c.s.req.ID, "upstream", c.r.upstream.ID, "error", err.Error())
 		}
@@ -99,12 +100,12 @@
 var errNoCopyHost = errors.New("no upstream has room for a KV cache copy")
 
 // orderCopy makes the run's upstream copy the KV cache to an upstream in another failure domain.
-func (c *copier) orderCopy() error {
+func (c *copier) orderCopy(ctx context.Context) error {
 	to, ok := c.copyTarget()
 	if !ok {
 		return errNoCopyHost
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, copyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	name, err := c.requestCopy(ctx, to)
 	if err != nil {
@@ -150,6 +151,23 @@
 	return c.s.dialect.CopyName(body)
 }
 
+// freeOrdered frees the ordered copy of a run that needs none any more. An order that is under way ends first, since its copy would remain.
+func (c *copier) freeOrdered() {
+	c.s.mu.Lock()
+	stopped := c.stopped
+	c.s.mu.Unlock()
+	if stopped == nil {
+		return
+	}
+	c.s.prober.group.Go(func(ctx context.Context) {
+		select {
+		case <-stopped:
+			c.s.freeCopy(c.latest())
+		case <-ctx.Done():
+		}
+	})
+}
+
 // freeCopy frees an ordered copy that is no longer needed, which would take memory and a slot at its host until it expires. The
 // call to the upstream that made the copy frees what both hold; if that fails, the host is called.
 func (s *stream) freeCopy(k *kvCopy) {
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -88,10 +88,14 @@
 	s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID)
 	if err == nil {
 		conn.Release()
-		s.freeCopy(c.latest())
+		c.freeOrdered()
 		return nil
 	}
 	conn.Close()
+	if s.callerGone() || errors.Is(err, errCallerLost) {
+		c.freeOrdered()
+		return err
+	}
 	s.handleFailedRun(r, err)
 	s.countRefusal(err)
 	if s.delivered > deliveredBefore {
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -20,8 +20,12 @@
 	"bilberrylug.dev/router/upstream"
 )
 
-// reregisterTime is how long running upstreams may take to register again after an outage of the store.
-const reregisterTime = 2 * time.Second
+// reregisterTime is how long running upstreams may take to register again after an outage of the store. An upstream that has
+// left receives no more work within changeTime, of which the check that removes it takes up to expireInterval.
+const (
+	reregisterTime = changeTime - expireInterval - 100*time.Millisecond
+	changeTime     = 2 * time.Second
+)
 
 // Decoder decodes the entries that other processes write to the store.
 type Decoder struct {
