Logs show what an aborted answer had left, and each unanswered probe with its timing

EV4301 with "stream aborted" gave no sign of whether time, runs or refusals were used up: it now has left, runs, max_attempts and refusals, which tells a run cut on suspicion from an answer given up too early.

--- a/router/direct/prober.go
+++ b/router/direct/prober.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/ids"
@@ -50,19 +51,37 @@
 // alive probes an upstream and reports whether it answered in time. Concurrent calls for an upstream share one probe.
 func (p *prober) alive(u fleet.Upstream) bool {
 	_, err, _ := p.flight.Do(string(u.ID), func() (any, error) {
-		p.metrics.Counter("probes").Inc(1)
-		result := make(chan error, 1)
-		p.group.Go(func(ctx context.Context) { result <- p.connect(ctx, u) })
-		select {
-		case err := <-result:
-			return nil, err
-		case <-p.clock.After(p.timeout()):
-			return nil, context.DeadlineExceeded
-		}
+		return nil, p.probe(u)
 	})
 	return err == nil
 }
 
+// probe makes one probe, and returns the reason if it is not answered in time.
+func (p *prober) probe(u fleet.Upstream) error {
+	p.metrics.Counter("probes").Inc(1)
+	start, timeout := p.clock.Now(), p.timeout()
+	result := make(chan error, 1)
+	p.group.Go(func(ctx context.Context) { result <- p.connect(ctx, u) })
+	err := context.DeadlineExceeded
+	select {
+	case err = <-result:
+	case <-p.clock.After(timeout):
+	}
+	if err != nil {
+		p.logUnanswered(u, timeout, p.clock.Since(start), err)
+	}
+	return err
+}
+
+// logUnanswered logs an unanswered probe of an upstream that is not known to be lost.
+func (p *prober) logUnanswered(u fleet.Upstream, timeout, waited time.Duration, err error) {
+	if locked(&p.mu, func() bool { return p.fleet.IsLost(u.ID, u.Started) }) {
+		return
+	}
+	p.log.Write(event.ProbeUnanswered, "upstream", u.ID, "failure_domain", u.Domain, "timeout", timeout.String(),
+		"waited", waited.String(), "error", err.Error())
+}
+
 // connect opens a connection for the pool and measures the connection time. It goes on after the probe has timed out, so
 // that delays of the router's own VM enter the average.
 func (p *prober) connect(ctx context.Context, u fleet.Upstream) error {
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -103,7 +103,8 @@
 	switch {
 	case s.headerSent:
 		f := fault.As(final)
-		s.logEnd(http.StatusOK, "outcome", "stream aborted", "number", f.Kind.Number, "detail", f.Detail, "events", s.delivered)
+		s.logEnd(http.StatusOK, "outcome", "stream aborted", "number", f.Kind.Number, "detail", f.Detail, "events", s.delivered,
+			"left", s.remaining().String(), "runs", s.runs(), "max_attempts", s.route.MaxAttempts, "refusals", s.refusals)
 		s.metrics.Counter("streams_broken").Inc(1)
 		// Closing the connection keeps the answer from looking complete.
 		panic(http.ErrAbortHandler)
