A run that cannot be replaced is not ended on suspicion

Callers saw: a stream that had begun was closed in the middle, with most of its time left. Cause: an unanswered probe, or the loss of the upstream as seen by another request, ended a run also when the route allowed no further one, and before the retry budget had granted one. The suspicion then was the end of the answer, whether it was right or not. Change: a run is ended on suspicion (unanswered probe, loss seen elsewhere, no events) only if another run may take over, which is charged to the budget at that moment.

--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -93,7 +93,7 @@
 		domainSuspected = s.fleet.DomainSuspected(r.upstream.Domain, now)
 		return s.fleet.IsLost(r.upstream.ID, r.upstream.Started)
 	})
-	if lost && silent > 0 {
+	if lost && silent > 0 && s.mayReplaceRun() {
 		return 0, errUnreachable
 	}
 	if !s.route.Retryable() {
@@ -116,13 +116,16 @@
 	if !s.prober.alive(r.upstream) {
 		r.stall.unansweredProbes++
 		// Before the first event there is time for a second probe, and processing the prompt elsewhere is expensive.
-		if r.stall.events > 0 || domainSuspected || r.stall.unansweredProbes > 1 {
+		if r.stall.events == 0 && !domainSuspected && r.stall.unansweredProbes <= 1 {
+			return confirmInterval, nil
+		}
+		if s.mayReplaceRun() {
 			return 0, errUnreachable
 		}
-		return confirmInterval, nil
+		return reprobeInterval, nil
 	}
 	r.stall.unansweredProbes = 0
-	if after, hangs := s.hungAfter(r); hangs && idle >= after && s.mayRunAgain() {
+	if after, hangs := s.hungAfter(r); hangs && idle >= after && s.mayReplaceRun() {
 		return 0, errHung
 	}
 	return reprobeInterval, nil
@@ -137,7 +140,12 @@
 	return hungTimeout + stallPauses*r.predicted, s.delivered > 0
 }
 
-// mayRunAgain reports whether another run is allowed. The last one is waited for, however slow it is.
-func (s *stream) mayRunAgain() bool {
-	return s.runs() < s.route.MaxAttempts && s.refusals < maxRefusals
+// mayReplaceRun reports whether another run may take over from the current one, and charges that run to the retry budget. A run that
+// cannot be replaced is not ended on suspicion: its upstream may still complete the answer.
+func (s *stream) mayReplaceRun() bool {
+	if !s.route.Retryable() || s.runs() >= s.route.MaxAttempts || s.refusals >= maxRefusals {
+		return false
+	}
+	s.retryGranted = s.retryGranted || s.allowRetry(s.service.Name)
+	return s.retryGranted
 }
