An answer that has begun waits for an upstream instead of being cut

Callers saw: a stream that had begun was closed in the middle, with neither an end nor a refusal, with most of its time left. Six refused connections take a few milliseconds. Change: such an answer waits, with a pause that doubles from 50 to 800 ms until events arrive again, for as long as its caller does, and ends only when its time or its allowed runs are used up. Each further attempt is charged to the retry budget as before. EV4314 logs each wait with its reason and what is left.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -54,6 +54,7 @@
 	CopyFreed           = Kind{"EV4312", slog.LevelInfo, "copy of a generation's KV cache freed", noAction}
 	CopyNotFreed        = Kind{"EV4313", slog.LevelInfo, "freeing a copy of a generation's KV cache failed", "None; the upstream frees it after a few seconds."}
 	CallerClosed        = Kind{"EV4311", slog.LevelInfo, "connection of a caller closed at a time limit", "None; the limits are those of the configuration."}
+	ResumeWaiting       = Kind{"EV4314", slog.LevelInfo, "answer that has begun waits to be resumed", "None, unless it persists; check the named reason."}
 	CallUnknown         = Kind{"EV5001", slog.LevelWarn, "outcome of a call is unknown", "Look up the record at the service by its idempotency key."}
 	CallCancelled       = Kind{"EV5002", slog.LevelInfo, "call cancelled through the ledger", noAction}
 	LedgerWriteLost     = Kind{"EV5003", slog.LevelWarn, "reply to a ledger write lost", "None; the bucket is read back."}
@@ -70,7 +71,7 @@
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamRecovered, PeerChanged, UpstreamSlow, UpstreamFailing, ProbeUnanswered,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
-	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnded, CopyCreated, CopyFailed, CopyFreed, CopyNotFreed, PromptListFailed, RequestWaiting, PromptsReceived, TimeLimitFailed, CallerClosed,
+	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnded, CopyCreated, CopyFailed, CopyFreed, CopyNotFreed, PromptListFailed, RequestWaiting, PromptsReceived, TimeLimitFailed, CallerClosed, ResumeWaiting,
 	CallUnknown, CallCancelled, LedgerWriteLost,
 	LeaseAcquired, LeaseLost, OrderGiven, OrderRefused,
 }
--- a/router/direct/call_retry.go
+++ b/router/direct/call_retry.go
@@ -33,13 +33,20 @@
 	if x.refusals >= maxRefusals || x.runs() >= x.route.MaxAttempts {
 		return fault.Wrap(exhausted, err, "after %d attempts", x.attempts)
 	}
-	if x.attempts > 0 && !x.retryGranted && !x.allowRetry(x.service.Name) {
+	if !x.chargeRetry() {
 		return fault.Wrap(exhausted, err, "retry budget used up")
 	}
-	x.retryGranted = false
 	return nil
 }
 
+// chargeRetry charges the next attempt to the retry budget, unless it is the first or already charged, and reports whether it is
+// allowed.
+func (x *exchange) chargeRetry() bool {
+	allowed := x.retryGranted || x.attempts == 0 || x.allowRetry(x.service.Name)
+	x.retryGranted = false
+	return allowed
+}
+
 // deadlineError returns the fault for a request whose deadline has passed.
 func (x *exchange) deadlineError() error {
 	code := fault.DeadlineExceeded
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -127,6 +127,7 @@
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	s.resumePause = 0
 	s.delivered++
 	if e.HasID {
 		s.lastEventID = e.ID
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -92,7 +92,7 @@
 		return nil
 	}
 	conn.Close()
-	if s.callerGone() || errors.Is(err, errCallerLost) {
+	if s.callerLost(err) {
 		c.freeOrdered()
 		return err
 	}
@@ -114,7 +114,7 @@
 		s.state.mu.Unlock()
 	}
 	switch {
-	case s.callerGone(), errors.Is(err, errCallerLost):
+	case s.callerLost(err):
 	case errors.Is(err, errNotRun), errors.Is(err, errHung), errors.Is(err, errUpstreamSlow):
 		s.tried[r.upstream.ID] = true
 	case errors.Is(err, errAddressReused):
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -143,7 +143,7 @@
 // mayReplaceRun reports whether another run may take over from the current one, and charges that run to the retry budget. A run that
 // cannot be replaced is not ended on suspicion: its upstream may still complete the answer.
 func (s *stream) mayReplaceRun() bool {
-	if !s.route.Retryable() || s.runs() >= s.route.MaxAttempts || s.refusals >= maxRefusals {
+	if !s.route.Retryable() || s.runs() >= s.route.MaxAttempts || !s.headerSent && s.refusals >= maxRefusals {
 		return false
 	}
 	s.retryGranted = s.retryGranted || s.allowRetry(s.service.Name)
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -36,6 +36,8 @@
 	tried map[ids.VM]bool
 	// promptMoves counts the runs that were ended because their engine was slow.
 	promptMoves int
+	// resumePause is the last pause before an attempt to resume, or zero since the last event.
+	resumePause time.Duration
 	// failedAnswer is the last failure answer of an upstream.
 	failedAnswer *answer
 
@@ -60,17 +62,26 @@
 		if err == nil {
 			return
 		}
-		if x.callerGone() || errors.Is(err, errCallerLost) {
+		var final error
+		if !s.callerLost(err) {
+			final = s.checkResume(err)
+		}
+		switch {
+		case s.callerLost(err):
 			x.logEnd(0, "outcome", "caller disconnected", "events", s.delivered)
 			return
-		}
-		if final := s.checkResume(err); final != nil {
+		case final != nil:
 			s.finish(final)
 			return
 		}
 	}
 }
 
+// callerLost reports whether the caller has disconnected, or a run has ended with the error that says so.
+func (s *stream) callerLost(err error) bool {
+	return s.callerGone() || errors.Is(err, errCallerLost)
+}
+
 // placementRequest returns the request's generation for the placement on an engine.
 func (x *exchange) placementRequest() placement.Request {
 	return placement.Request{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Seed: rand.Uint64()}
@@ -86,17 +97,6 @@
 	return m
 }
 
-// checkResume returns nil if a failed generation may be resumed, and its final fault otherwise.
-func (s *stream) checkResume(err error) error {
-	if errors.Is(err, errNoUpstream) && s.remaining() >= minAnswerTime {
-		return s.noUpstreamError()
-	}
-	if s.mayHaveRun {
-		return s.checkRetry(err, fault.ResumeExhausted)
-	}
-	return s.checkRetry(err, fault.QueueFull)
-}
-
 // finish ends a generation that cannot be resumed: it aborts an answer that has started, and otherwise forwards an
 // upstream's failure answer or refuses the request.
 func (s *stream) finish(final error) {
