--- a/agent/queue/queue_test.go
+++ b/agent/queue/queue_test.go
@@ -1,7 +1,6 @@
 package queue_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -13,14 +12,10 @@
 	"bilberrylug.dev/agent/queue"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/testkit"
 )
 
-func init() { _ = flag.Set("rapid.seed", "20261204") }
-
-func TestQueue(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "queue")
-}
+func TestQueue(t *testing.T) { testkit.Run(t, "queue") }
 
 func started(i *queue.Item) bool {
 	select {
--- a/agent/router/server_test.go
+++ b/agent/router/server_test.go
@@ -30,13 +30,11 @@
 	"bilberrylug.dev/core/ledgerstore"
 	"bilberrylug.dev/core/membership"
 	"bilberrylug.dev/core/metric"
+	"bilberrylug.dev/core/testkit"
 	"bilberrylug.dev/core/wire"
 )
 
-func TestRouter(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "agent's service for routers")
-}
+func TestRouter(t *testing.T) { testkit.Run(t, "agent's service for routers") }
 
 // backend is an engine and a plain service. It records the requests that it receives.
 type backend struct {
--- a/bench/e2e/suite_test.go
+++ b/bench/e2e/suite_test.go
@@ -8,15 +8,14 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"bilberrylug.dev/core/testkit"
 )
 
 // binDir is the directory with the binaries under test.
 var binDir string
 
-func TestE2E(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "product end to end, with separate processes")
-}
+func TestE2E(t *testing.T) { testkit.Run(t, "product end to end, with separate processes") }
 
 var _ = BeforeSuite(func() {
 	dir, err := os.MkdirTemp("", "bilberrylug")
--- a/router/answer/registry_test.go
+++ b/router/answer/registry_test.go
@@ -18,15 +18,13 @@
 	"bilberrylug.dev/core/journal"
 	"bilberrylug.dev/core/membership"
 	"bilberrylug.dev/core/metric"
+	"bilberrylug.dev/core/testkit"
 	"bilberrylug.dev/router/agent"
 	"bilberrylug.dev/router/answer"
 	"bilberrylug.dev/router/fleetview"
 )
 
-func TestAnswer(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "answers")
-}
+func TestAnswer(t *testing.T) { testkit.Run(t, "answers") }
 
 var _ = Describe("a registry", func() {
 	var r *answer.Registry
--- a/router/fleetview/view_test.go
+++ b/router/fleetview/view_test.go
@@ -12,13 +12,11 @@
 	"bilberrylug.dev/core/activeconfig"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/membership"
+	"bilberrylug.dev/core/testkit"
 	"bilberrylug.dev/router/fleetview"
 )
 
-func TestFleetView(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "fleetview")
-}
+func TestFleetView(t *testing.T) { testkit.Run(t, "fleetview") }
 
 func newView(agents ...membership.Member) *fleetview.View {
 	v := fleetview.New(fleetview.Options{
