--- /dev/null
+++ b/core/knownred/testdata/broken/broken_test.go
@@ -0,0 +1,5 @@
+package broken_test
+
+import "testing"
+
+func TestBroken(t *testing.T) { undefined(t) }
