Attempts that find no connection are not charged to the retry budget

Callers saw: during a moment without connections, answers that had begun were cut or waited with "retry budget used up", and so did those of other callers that share the budget. Cause: each further attempt was charged before it was dialled. A dial that failed sent nothing to an upstream, yet the next attempt was charged again. Change: a charge is kept until an attempt has a connection.

--- a/router/direct/begun_answer_test.go
+++ b/router/direct/begun_answer_test.go
@@ -49,6 +49,40 @@
 	r.pool = upstream.NewPool(dial, r.clock, r.limits.poolLimits())
 }
 
+// refuseDialsFor returns a respondFunc that closes its connection, and makes the router's attempts to connect fail for a time.
+func (r *testRouter) refuseDialsFor(d time.Duration) respondFunc {
+	var refusedUntil atomic.Pointer[time.Time]
+	r.dialVia(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if t := refusedUntil.Load(); t != nil && time.Now().Before(*t) {
+			return nil, syscall.ECONNREFUSED
+		}
+		return upstream.Dial(ctx, network, address)
+	})
+	return func(w net.Conn, req *http.Request) {
+		until := time.Now().Add(d)
+		refusedUntil.Store(&until)
+		closes(w, req)
+	}
+}
+
+// allowRetries leaves the given number of retries of the engines' budget, for a time.
+func (r *testRouter) allowRetries(n int, window time.Duration) {
+	const slack = 50
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.picker.Routers = 1
+	full := budget.New(budget.Limits{Slack: slack, Window: window}, now)
+	all := 0
+	for full.AllowRetry("pool", now, r.picker.Routers) {
+		all++
+	}
+	r.budget = budget.New(budget.Limits{Slack: slack, Window: window}, now)
+	for range all - n {
+		r.budget.AllowRetry("pool", now, r.picker.Routers)
+	}
+}
+
 // Guards against answers that had begun and were cut although the caller's time was not over and an upstream could have completed
 // them: such a request gets neither an answer nor a refusal.
 var _ = Describe("an answer that has begun is not cut", func() {
@@ -74,19 +108,7 @@
 	})
 	It("because no upstream can be reached for a moment", func() {
 		r := newTestRouter(0)
-		var refusedUntil atomic.Pointer[time.Time]
-		r.dialVia(func(ctx context.Context, network, address string) (net.Conn, error) {
-			if t := refusedUntil.Load(); t != nil && time.Now().Before(*t) {
-				return nil, syscall.ECONNREFUSED
-			}
-			return upstream.Dial(ctx, network, address)
-		})
-		ends := func(w net.Conn, req *http.Request) {
-			until := time.Now().Add(pause)
-			refusedUntil.Store(&until)
-			closes(w, req)
-		}
-		r.register("pool", newRawUpstream(onFirst(begins(ends), streamed(time.Millisecond))))
+		r.register("pool", newRawUpstream(onFirst(begins(r.refuseDialsFor(pause)), streamed(time.Millisecond))))
 		complete(r.send(http.MethodPost, "/digest/a"))
 	})
 	It("because the upstreams are full for a moment", func() {
@@ -108,12 +130,20 @@
 	})
 	It("because the retry budget is used up for a moment", func() {
 		r := newTestRouter(0)
-		now := r.clock.Now()
-		r.mu.Lock()
-		r.budget = budget.New(budget.Limits{Slack: 5, Window: time.Second}, now)
-		for r.budget.AllowRetry("pool", now, r.picker.Routers) {
-		}
-		r.mu.Unlock()
+		r.allowRetries(0, time.Second)
 		complete(r.streamFrom(begins(closes), streamed(time.Millisecond)))
 	})
 })
+
+// Guards against a retry budget used up by attempts that never left the router, which ended answers that could have been resumed.
+var _ = Describe("attempts that find no connection", func() {
+	It("are not charged to the retry budget", func() {
+		r := newTestRouter(0)
+		r.allowRetries(1, 20*time.Second)
+		r.register("pool", newRawUpstream(onFirst(begins(r.refuseDialsFor(time.Second)), streamed(time.Millisecond))))
+		got := r.send(http.MethodPost, "/digest/a")
+		Expect(got.body).To(Equal(wholeStream))
+		Expect(got.whole).To(BeTrue())
+		Expect(got.took).To(BeNumerically("<", 5*time.Second))
+	})
+})
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x.attempts++
+	x.countAttempt()
 	x.logAttempt(u.ID, "domain", u.Domain, "tried_before", len(tried), "reused", conn.Reused())
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
--- a/router/direct/call_retry.go
+++ b/router/direct/call_retry.go
@@ -39,12 +39,17 @@
 	return nil
 }
 
-// chargeRetry charges the next attempt to the retry budget, unless it is the first or already charged, and reports whether it is
-// allowed.
+// chargeRetry charges the next attempt to the retry budget, unless it is the first, and reports whether it is allowed. An attempt
+// that finds no connection leaves the charge to the next one.
 func (x *exchange) chargeRetry() bool {
-	allowed := x.retryGranted || x.attempts == 0 || x.allowRetry(x.service.Name)
+	x.retryGranted = x.retryGranted || x.attempts == 0 || x.allowRetry(x.service.Name)
+	return x.retryGranted
+}
+
+// countAttempt counts an attempt for which there is a connection.
+func (x *exchange) countAttempt() {
+	x.attempts++
 	x.retryGranted = false
-	return allowed
 }
 
 // deadlineError returns the fault for a request whose deadline has passed.
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -75,7 +75,7 @@
 		s.avoidDomain(r.upstream.Domain)
 		return err
 	}
-	s.attempts++
+	s.countAttempt()
 	r.stall.resumeReading(s.clock.Now())
 	s.logAttempt(r.upstream.ID, "domain", r.upstream.Domain, "predicted", r.predicted.String(),
 		"continues_copy", !r.resumeFrom.IsZero(), "copy_at", r.backupID(), "last_event", s.lastEventID, "reused", conn.Reused())
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -146,6 +146,5 @@
 	if !s.route.Retryable() || s.runs() >= s.route.MaxAttempts || !s.headerSent && s.refusals >= maxRefusals {
 		return false
 	}
-	s.retryGranted = s.retryGranted || s.allowRetry(s.service.Name)
-	return s.retryGranted
+	return s.chargeRetry()
 }
