--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -70,6 +70,7 @@
 	defer s.release(r)
 	conn, err := s.connect(s.ctx, r.upstream)
 	if err != nil {
+		s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID, "sent", false)
 		s.refusals++
 		s.tried[r.upstream.ID] = true
 		s.avoidDomain(r.upstream.Domain)
