--- a/router/direct/testrouter_test.go
+++ b/router/direct/testrouter_test.go
@@ -111,6 +111,11 @@
 // newTestRouter starts a router whose service "desk" is reached by /look/ (idempotent, three attempts) and /slip/, and whose
 // service "pool" by /digest/ (a resumable stream, two attempts).
 func newTestRouter(memoryMegabytes int64) *testRouter {
+	return newTestRouterOn(memoryMegabytes, func(l net.Listener) net.Listener { return l })
+}
+
+// newTestRouterOn starts such a router on a listener that wrap returns.
+func newTestRouterOn(memoryMegabytes int64, wrap func(l net.Listener) net.Listener) *testRouter {
 	st := newState(Settings{VM: "entry", FailureDomain: "north", Retries: Retries{Slack: 1000, WindowSeconds: 10}, MemoryMegabytes: memoryMegabytes}, Options{
 		Clock: clockwork.NewRealClock(), Log: event.New(io.Discard, slog.LevelError, "entry"), Dial: upstream.Dial,
 	})
@@ -135,6 +140,7 @@
 	}
 	h.prober.onRecovered = func(context.Context, fleet.Upstream) {}
 	server := httptest.NewUnstartedServer(h)
+	server.Listener = wrap(server.Listener)
 	server.Config.ConnContext, server.Config.ConnState = h.conns.context, h.conns.stateChanged
 	server.Start()
 	DeferCleanup(func() {
