The limit of idle connections does not close one on which a request has arrived

Callers saw: a whole request on a kept connection got neither an answer nor a refusal, beside a change of the configuration. Cause: the limit was a timer that closed the connection whatever had happened since. net/http reports a connection as active only once it has read the header, so a router that was busy decoding a large value ran the overdue timer with a request already in the socket or its header half read, and then served the request on a closed connection. A timer that had just been replaced could close it, too. Change: the first bytes after an idle time replace the idle limit by that of the header; an overdue timer looks whether it is still the current one and whether the socket is readable.

--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -145,6 +145,9 @@
 		if err != nil {
 			return err
 		}
+		if server == callers {
+			l = a.handler.conns.listener(l)
+		}
 		a.group.Go(func(context.Context) { serve(server, l, failed) })
 	}
 	peers, err := listen(ctx, a.cfg.peersListen())
--- a/router/direct/testrouter_test.go
+++ b/router/direct/testrouter_test.go
@@ -140,7 +140,7 @@
 	}
 	h.prober.onRecovered = func(context.Context, fleet.Upstream) {}
 	server := httptest.NewUnstartedServer(h)
-	server.Listener = wrap(server.Listener)
+	server.Listener = h.conns.listener(wrap(server.Listener))
 	server.Config.ConnContext, server.Config.ConnState = h.conns.context, h.conns.stateChanged
 	server.Start()
 	DeferCleanup(func() {
