A stream that ends with its connection before its first event is not complete

Callers saw status 200 with a signature and an empty body, ended as complete, for a generation whose upstream closed the connection after the header:

and in router/direct, both with no event and with a comment alone:

[It] closed before its first event [It] closed after a comment Expected <string>: : wait to have suffix <string>: id: 1 data: 1 ...

Cause: the forwarding took the end of the body between two events for the end of the stream. That holds with a length or chunks, which show an early end as an error. A body with neither ends whenever its connection does, so one without an event looked like a whole generation of none.

Now such a run counts as broken off if the caller has no event either: it goes on at another upstream, or the caller gets 502. A caller that has events may have all of them, so an empty body still completes a stream that was resumed. The reader of events says when it returns nothing but trailing blocks, so that a comment is not taken for an event.

The three entries failed before (platform/e2e run once, router/direct twice) and pass now, with all of router/upstream and core/sse and, without the race detector, router/direct. With the race detector, at a load of 22 on 8 cores, two specs of router/direct/hostile_test.go failed on their time limits ("chunks" of the endless bytes took over 4 s, and 107 of 200 calls beside 64 pouring upstreams over 300 ms).

--- a/core/sse/reader.go
+++ b/core/sse/reader.go
@@ -21,8 +21,10 @@
 // Event is a server-sent event.
 type Event struct {
 	// Raw holds the event's bytes, including the blank line that ends it and what came before it that is no event: comments,
-	// and blocks with neither data nor an ID. After the last event, an Event may hold nothing but such blocks.
+	// and blocks with neither data nor an ID.
 	Raw []byte
+	// Trailing is set if nothing but such blocks was left at the end of the stream, so that Raw holds no event.
+	Trailing bool
 	// ID is the event's numeric ID, if HasID is set.
 	ID    uint64
 	HasID bool
@@ -65,7 +67,7 @@
 		partial := errors.Is(err, bufio.ErrBufferFull)
 		if err != nil && !partial {
 			if errors.Is(err, io.EOF) && blockEnded && len(line) == 0 {
-				e.Raw = r.raw
+				e.Raw, e.Trailing = r.raw, true
 				return e, nil
 			}
 			return Event{}, r.endError(err)
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -11,6 +11,7 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/sse"
+	"bilberrylug.dev/router/upstream"
 )
 
 // sendAndForward sends the request to the run's upstream and forwards its events until the run ends.
@@ -82,6 +83,9 @@
 	reader := sse.NewReader(resp.Body, s.limits.MaxEventBytes)
 	for first := true; ; first = false {
 		e, err := reader.Next()
+		if first && (errors.Is(err, io.EOF) || e.Trailing) && s.lacksEvents(resp) {
+			return errTruncated
+		}
 		if errors.Is(err, io.EOF) {
 			return s.complete(resp)
 		}
@@ -103,6 +107,12 @@
 	}
 }
 
+// lacksEvents reports whether a run that has sent no event was broken off: a body that ends with its connection does not show
+// its end. A caller that has events may have them all.
+func (s *stream) lacksEvents(resp *http.Response) bool {
+	return upstream.CloseDelimited(resp) && !s.resumes
+}
+
 var errCallerLost = errors.New("the connection to the caller is lost")
 
 // forwardEvent forwards one event unless the caller already has it.
--- a/router/direct/unframed_test.go
+++ b/router/direct/unframed_test.go
@@ -63,6 +63,8 @@
 		Entry("reset after an event", then(unframed(eventText(1)), resets)),
 		Entry("closed within an event", then(unframed(eventText(1)+"id: 2\nda"), closes)),
 		Entry("closed within the first event", then(unframed("id: 1\n"), closes)),
+		Entry("closed before its first event", then(unframed(""), closes)),
+		Entry("closed after a comment", then(unframed(": wait\n\n"), closes)),
 		Entry("reset before its first event", then(unframed(""), resets)),
 	)
 	It("is complete without events if the caller has them all", func() {
--- a/router/upstream/conn.go
+++ b/router/upstream/conn.go
@@ -50,7 +50,7 @@
 // been read to its end.
 func (c *Conn) Release() {
 	c.onStall = nil
-	if c.noReuse || c.resp == nil || c.resp.Close || c.br.Buffered() > 0 || c.closeDelimited() {
+	if c.noReuse || c.resp == nil || c.resp.Close || c.br.Buffered() > 0 || CloseDelimited(c.resp) {
 		c.Close()
 		return
 	}
@@ -61,9 +61,9 @@
 	c.pool.Put(c)
 }
 
-// closeDelimited reports whether the end of the response body is marked by the closing of the connection.
-func (c *Conn) closeDelimited() bool {
-	return c.resp.ContentLength < 0 && len(c.resp.TransferEncoding) == 0
+// CloseDelimited reports whether the end of a response body is marked by the closing of the connection.
+func CloseDelimited(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
 // expired reports whether the connection has been idle for too long to be reused safely.
--- a/router/upstream/request.go
+++ b/router/upstream/request.go
@@ -68,7 +68,7 @@
 		if err := c.discard(resp.Body); err != nil {
 			return nil, fmt.Errorf("skip response to another request: %w", err)
 		}
-		if resp.Close || c.closeDelimited() {
+		if resp.Close || CloseDelimited(resp) {
 			break
 		}
 	}
