Add core/quarantine: circuit breakers for prompt parts that crash engines

The package decides which part is to blame from crashes and sound runs over all routers, and refuses prompts with it. It opens no sockets and is not wired yet.

--- /dev/null
+++ b/core/quarantine/breaker.go
@@ -0,0 +1,146 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrylug.dev/core/ids"
+)
+
+const (
+	// openTime is how long a breaker stays open after the crash that opened it; it doubles when a trial crashes, up to
+	// maxOpenTime.
+	openTime    = 5 * time.Minute
+	maxOpenTime = time.Hour
+	// soundOpenTime is the first open time of a part that was sound before. Engines may crash under it for a cause that ends.
+	soundOpenTime = 30 * time.Second
+	// halfOpenSpread is the share of the open time over which the routers begin to admit trials, so that the first one's
+	// outcome reaches the others before they follow.
+	halfOpenSpread = 0.5
+	// alternativeSpread is the time over which the routers begin to admit trials of a part that is one of several suspects.
+	alternativeSpread = 3 * time.Second
+	// trialTime bounds a trial whose outcome is not recorded.
+	trialTime = 10 * time.Second
+	// trialBackoff is the pause after a trial that crashed without a verdict on the part.
+	trialBackoff = 3 * time.Second
+	// breakerMemory is how long a breaker is remembered after it was released or has become half-open.
+	breakerMemory = time.Hour
+	// maxBreakers bounds the breakers that are kept, maxStanding those that stand: so many parts are not to blame at once.
+	maxBreakers = 64
+	maxStanding = 16
+)
+
+// breaker is the circuit breaker of a part.
+type breaker struct {
+	part Part
+	// epoch counts how often the breaker was opened. The routers agree on the state of the highest epoch.
+	epoch      uint32
+	openedAt   time.Time
+	openFor    time.Duration
+	releasedAt time.Time
+	// alternatives are parts that explain the crashes as well. A request without one of them may be a trial.
+	alternatives []Part
+	// crashes and routers are the evidence that the breaker was opened on.
+	crashes int
+	routers []ids.VM
+	// trial is the request that has the trial at this router until trialUntil.
+	trial      ids.Request
+	trialUntil time.Time
+}
+
+func (b *breaker) standing() bool            { return b.releasedAt.IsZero() }
+func (b *breaker) isOpen(now time.Time) bool { return b.standing() && now.Before(b.until()) }
+func (b *breaker) until() time.Time          { return b.openedAt.Add(b.openFor) }
+func (b *breaker) release(at time.Time)      { b.releasedAt = at }
+
+// reopen opens the breaker again after the crash of a trial.
+func (b *breaker) reopen(at time.Time) {
+	b.epoch++
+	b.openedAt = at
+	b.openFor = min(2*b.openFor, maxOpenTime)
+	b.trial, b.trialUntil = "", time.Time{}
+}
+
+// update takes over the evidence against the part.
+func (b *breaker) update(s *suspicion) {
+	b.alternatives = slices.Clone(s.alternatives)
+	b.crashes = s.count
+	b.routers = slices.Clone(s.routers)
+}
+
+// open opens the breaker of a part, unless it was released after all evidence or too many stand. It returns nil then.
+func (q *Quarantine) open(s *suspicion, now time.Time) *breaker {
+	b := q.breakers[s.part]
+	if b != nil && !s.lastAt.After(b.releasedAt) {
+		return nil
+	}
+	standing := 0
+	for _, other := range q.breakers {
+		if other.isOpen(now) {
+			standing++
+		}
+	}
+	if standing >= maxStanding {
+		return nil
+	}
+	opened := &breaker{part: s.part, epoch: 1, openedAt: s.lastAt, openFor: openTime}
+	if s.everSound() {
+		opened.openFor = soundOpenTime
+	}
+	if b != nil {
+		opened.epoch = b.epoch + 1
+	}
+	opened.update(s)
+	if !q.put(opened) {
+		return nil
+	}
+	return opened
+}
+
+// put stores a breaker and drops another that is not open if there are too many. It reports whether there was room.
+func (q *Quarantine) put(b *breaker) bool {
+	if q.breakers[b.part] == nil && len(q.breakers) >= maxBreakers {
+		closed := slices.DeleteFunc(q.sorted(), func(other *breaker) bool { return other.isOpen(b.openedAt) })
+		if len(closed) == 0 {
+			return false
+		}
+		delete(q.breakers, slices.MinFunc(closed, func(a, b *breaker) int { return a.openedAt.Compare(b.openedAt) }).part)
+	}
+	q.breakers[b.part] = b
+	return true
+}
+
+// forget drops the breakers that no request has tried for long.
+func (q *Quarantine) forget(now time.Time) {
+	for p, b := range q.breakers {
+		if now.Sub(b.until()) > breakerMemory {
+			delete(q.breakers, p)
+		}
+	}
+}
+
+// sorted returns the breakers in a fixed order.
+func (q *Quarantine) sorted() []*breaker {
+	out := make([]*breaker, 0, len(q.breakers))
+	for _, b := range q.breakers {
+		out = append(out, b)
+	}
+	slices.SortFunc(out, func(a, b *breaker) int { return cmp.Compare(a.part, b.part) })
+	return out
+}
+
+// stagger returns this router's share, from 0 to 1, of a time over which the routers begin to admit trials.
+func (q *Quarantine) stagger(b *breaker) float64 {
+	var key [12]byte
+	binary.LittleEndian.PutUint64(key[:], uint64(b.part))
+	binary.LittleEndian.PutUint32(key[8:], b.epoch)
+	h := xxhash.New()
+	_, _ = h.Write(key[:])
+	_, _ = h.WriteString(string(q.router))
+	return float64(h.Sum64()) / math.MaxUint64
+}
--- /dev/null
+++ b/core/quarantine/check.go
@@ -0,0 +1,92 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+// Verdict is the decision on a request, with its inputs.
+type Verdict struct {
+	Allowed bool
+	// Trial is set if the request is let through to find out whether its parts are sound. It must run at most once.
+	Trial bool
+	// Part is the part that decides, or zero if none of the parts is suspect. The other fields describe its breaker.
+	Part  Part
+	Epoch uint32
+	// Age is the time since the breaker opened, Remaining the time until this router admits a trial.
+	Age       time.Duration
+	Remaining time.Duration
+	// Crashes is the number of incidents that the breaker was opened on, Routers the ones that reported them.
+	Crashes int
+	Routers []ids.VM
+	// Alternatives is the number of other parts that explain the crashes as well.
+	Alternatives int
+}
+
+// Check decides whether a request may be sent to an engine, at each attempt. A request that is allowed as a trial holds the
+// trial until its outcome is recorded or it ends.
+func (q *Quarantine) Check(request ids.Request, parts []Part, now time.Time) Verdict {
+	v := Verdict{Allowed: true}
+	if len(q.breakers) == 0 {
+		return v
+	}
+	var trials []*breaker
+	for _, p := range parts {
+		b := q.breakers[p]
+		if b == nil || !b.standing() {
+			continue
+		}
+		v = q.describe(b, parts, now)
+		if v.Remaining == 0 && b.trial != request {
+			v.Remaining = max(0, b.trialUntil.Sub(now))
+		}
+		if v.Remaining > 0 {
+			return v
+		}
+		trials = append(trials, b)
+	}
+	for _, b := range trials {
+		b.trial, b.trialUntil = request, now.Add(trialTime)
+	}
+	v.Allowed, v.Trial = true, len(trials) > 0
+	return v
+}
+
+func (q *Quarantine) describe(b *breaker, parts []Part, now time.Time) Verdict {
+	return Verdict{
+		Part: b.part, Epoch: b.epoch, Age: now.Sub(b.openedAt), Remaining: max(0, q.trialAt(b, parts).Sub(now)),
+		Crashes: b.crashes, Routers: b.routers, Alternatives: len(b.alternatives),
+	}
+}
+
+// trialAt returns from when on this router admits a request with the given parts as a trial of one of them.
+func (q *Quarantine) trialAt(b *breaker, parts []Part) time.Time {
+	stagger := q.stagger(b)
+	halfOpen := b.until().Add(time.Duration(stagger * halfOpenSpread * float64(b.openFor)))
+	for _, p := range b.alternatives {
+		other := q.breakers[p]
+		if other != nil && other.standing() && !slices.Contains(parts, p) {
+			return b.openedAt.Add(time.Duration(stagger * float64(alternativeSpread)))
+		}
+	}
+	return halfOpen
+}
+
+// EndTrial ends the trials that a request holds, once it has ended.
+func (q *Quarantine) EndTrial(request ids.Request) {
+	for _, b := range q.breakers {
+		if b.trial == request {
+			b.trial, b.trialUntil = "", time.Time{}
+		}
+	}
+}
+
+// LogFields returns the verdict's inputs for a log line.
+func (v Verdict) LogFields() []any {
+	return []any{
+		"part", v.Part, "trial", v.Trial, "epoch", v.Epoch, "age", v.Age.String(), "remaining", v.Remaining.String(),
+		"crashes", v.Crashes, "reported_by", v.Routers, "alternatives", v.Alternatives,
+	}
+}
--- /dev/null
+++ b/core/quarantine/merge.go
@@ -0,0 +1,95 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bilberrylug.dev/core/ids"
+)
+
+// Merge takes over another router's report and returns the decisions that follow from it. A report may arrive more than
+// once and in any order.
+func (q *Quarantine) Merge(router ids.VM, r Report, now time.Time) []Change {
+	if router == q.router || r.IsEmpty() {
+		return nil
+	}
+	q.forget(now)
+	for _, s := range r.Sound[:min(len(r.Sound), maxReportSound)] {
+		q.evidence.addSound(s.Part, now.Add(-max(0, s.Age)), false)
+	}
+	var out []Change
+	for _, b := range r.Breakers[:min(len(r.Breakers), maxReportBreakers)] {
+		if c, changed := q.mergeBreaker(router, b, now); changed {
+			out = append(out, c)
+		}
+	}
+	var added []Crash
+	for _, c := range r.Crashes[:min(len(r.Crashes), maxReportCrashes)] {
+		crash := Crash{
+			Parts: slices.Clone(c.Parts[:min(len(c.Parts), maxParts)]), Upstream: c.Upstream, Started: c.Started,
+			Router: router, At: now.Add(-max(0, c.Age)),
+		}
+		if q.evidence.addCrash(crash, now) {
+			added = append(added, crash)
+		}
+	}
+	for _, c := range added {
+		out = append(out, q.renew(c, now)...)
+	}
+	out = append(out, q.releaseSound(now)...)
+	if len(added) > 0 || len(out) > 0 {
+		out = append(out, q.assess(now)...)
+	}
+	return out
+}
+
+// mergeBreaker takes over the state of a breaker. A later epoch replaces an earlier one; within an epoch a release prevails,
+// and the earliest times, since transport only makes reports look younger.
+func (q *Quarantine) mergeBreaker(router ids.VM, r BreakerReport, now time.Time) (Change, bool) {
+	reported := &breaker{
+		part: r.Part, epoch: r.Epoch, openedAt: now.Add(-max(0, r.Age)), openFor: min(max(0, r.OpenFor), maxOpenTime),
+		crashes: r.Crashes, routers: []ids.VM{router},
+		alternatives: slices.Clone(r.Alternatives[:min(len(r.Alternatives), maxReportAlternatives)]),
+	}
+	if r.Released {
+		reported.releasedAt = now.Add(-max(0, r.ReleasedAge))
+	}
+	if now.Sub(reported.until()) > breakerMemory {
+		return Change{}, false
+	}
+	b := q.breakers[r.Part]
+	if b == nil || b.epoch < r.Epoch {
+		stood := b != nil && b.standing()
+		if !q.put(reported) {
+			return Change{}, false
+		}
+		switch {
+		case reported.standing():
+			return reported.change(Opened, "reported by another router", nil, now), true
+		case stood:
+			return reported.change(Released, "reported by another router", nil, now), true
+		}
+		return Change{}, false
+	}
+	if b.epoch > r.Epoch {
+		return Change{}, false
+	}
+	if reported.openedAt.Before(b.openedAt) {
+		b.openedAt = reported.openedAt
+	}
+	b.openFor = min(b.openFor, reported.openFor)
+	if reported.standing() {
+		return Change{}, false
+	}
+	if b.standing() {
+		b.release(reported.releasedAt)
+		return b.change(Released, "reported by another router", nil, now), true
+	}
+	if reported.releasedAt.Before(b.releasedAt) {
+		b.releasedAt = reported.releasedAt
+	}
+	return Change{}, false
+}
+
+func comparePart(a, b Part) int { return cmp.Compare(a, b) }
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,179 @@
+// Package quarantine decides which prompts are no longer sent to engines because a part of them is a poison pill (a "query
+// of death"): it crashes each engine that begins to write an answer to it.
+//
+// Requests share the parts of their prompts, so a crash is evidence against several parts. A run that outlives its first
+// events proves its parts sound and cancels the earlier evidence against them. A part is quarantined once enough engine
+// processes have crashed under it that no other part explains. While two parts are equally suspect, requests with both are
+// refused and a request with only one of them is let through as a trial. A quarantine is a circuit breaker: it opens for a
+// time, is then half-open, when one trial decides, and opens for twice the time if the trial crashes as well.
+//
+// # Usage
+//
+//	q := quarantine.New(router)
+//	parts := quarantine.Parts(model, ids)
+//	if v := q.Check(request, parts, now); !v.Allowed { ... refuse ... }
+//	changes := q.RecordSound(parts, now)               // a run has delivered [SoundEvents] events, or all it had
+//	changes := q.RecordCrash(quarantine.Crash{...})    // a connection broke between the answer's header and that
+//	q.EndTrial(request)                                // the request has ended
+//	report := q.Report(now)                            // for each of the other routers
+//	changes := q.Merge(peer, report, now)
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrylug.dev/core/ids"
+)
+
+// SoundEvents is the number of events after which a run has proved its prompt sound. A crash may follow the first ones.
+const SoundEvents = 3
+
+const (
+	// crashThreshold is the number of unexplained crashes that open the breaker of a part.
+	crashThreshold = 3
+	// soundCrashThreshold applies to a part that has been sound before, since its last sound run.
+	soundCrashThreshold = 4
+	// coincidences is the number of crashes of other causes that may look like evidence against a part.
+	coincidences = 1
+	// maxParts bounds the parts of one prompt that are considered.
+	maxParts = 32
+)
+
+// Part identifies a part of a prompt of a model by its hash.
+type Part uint64
+
+// Parts returns the parts of a prompt that may be to blame for a crash, given the names of all its parts in order. The last
+// one belongs to the request or its session.
+func Parts(model string, names []string) []Part {
+	if len(names) < 2 {
+		return nil
+	}
+	names = names[:min(len(names)-1, maxParts)]
+	out := make([]Part, 0, len(names))
+	for _, name := range names {
+		out = append(out, Part(xxhash.Sum64String(model+"\x00"+name)))
+	}
+	return out
+}
+
+// Crash is the loss of an engine process under a run whose answer had begun but had not yet proved its prompt sound.
+type Crash struct {
+	// Request is the request whose run it was. It is known at the router that saw the crash only.
+	Request  ids.Request
+	Parts    []Part
+	Upstream ids.VM
+	// Started distinguishes one start of the upstream from the next.
+	Started int64
+	// Router is the router that saw the crash.
+	Router ids.VM
+	At     time.Time
+}
+
+// Quarantine holds the evidence and the breakers, as seen by one router. It is not safe for concurrent use.
+type Quarantine struct {
+	router   ids.VM
+	evidence evidence
+	breakers map[Part]*breaker
+}
+
+// New returns an empty Quarantine of a router.
+func New(router ids.VM) *Quarantine {
+	return &Quarantine{router: router, breakers: map[Part]*breaker{}}
+}
+
+// RecordCrash records a crash that this router has seen, and returns the decisions that follow from it.
+func (q *Quarantine) RecordCrash(c Crash) []Change {
+	c.Router = q.router
+	c.Parts = slices.Clone(c.Parts[:min(len(c.Parts), maxParts)])
+	now := c.At
+	if !q.evidence.addCrash(c, now) {
+		return nil
+	}
+	for _, p := range c.Parts {
+		if b := q.breakers[p]; b != nil && b.trial != "" && b.trial == c.Request {
+			b.trial, b.trialUntil = "", now.Add(trialBackoff)
+		}
+	}
+	return append(q.renew(c, now), q.assess(now)...)
+}
+
+// RecordSound records that a run at this router has outlived its first events, and returns the decisions that follow from it.
+func (q *Quarantine) RecordSound(parts []Part, now time.Time) []Change {
+	affected := false
+	for _, p := range parts[:min(len(parts), maxParts)] {
+		q.evidence.addSound(p, now, true)
+		b := q.breakers[p]
+		affected = affected || b != nil && b.standing()
+	}
+	if !affected {
+		return nil
+	}
+	return append(q.releaseSound(now), q.assess(now)...)
+}
+
+// assess opens the breakers of the parts that the evidence convicts, and releases those whose evidence others explain.
+func (q *Quarantine) assess(now time.Time) []Change {
+	q.forget(now)
+	tally := q.evidence.tally(now)
+	blamed := blame(tally)
+	var out []Change
+	for _, b := range q.sorted() {
+		if s := tally[b.part]; b.standing() && s != nil && s.count >= s.threshold() && blamed[b.part] == nil {
+			b.release(now)
+			out = append(out, b.change(Released, "other parts explain the crashes", s, now))
+		}
+	}
+	for _, s := range byWeight(blamed) {
+		if b := q.breakers[s.part]; b != nil && b.standing() {
+			b.update(s)
+			continue
+		}
+		if b := q.open(s, now); b != nil {
+			out = append(out, b.change(Opened, "crashes", s, now))
+		}
+	}
+	return out
+}
+
+// renew opens the half-open breakers of the parts of a new crash again.
+func (q *Quarantine) renew(c Crash, now time.Time) []Change {
+	var halfOpen []*breaker
+	for _, p := range c.Parts {
+		b := q.breakers[p]
+		if b == nil || !b.standing() || q.evidence.soundAt(p).After(c.At) {
+			continue
+		}
+		if !c.At.After(b.until()) {
+			// The part whose breaker is open explains the crash.
+			return nil
+		}
+		halfOpen = append(halfOpen, b)
+	}
+	tally := q.evidence.tally(now)
+	var out []Change
+	for _, b := range halfOpen {
+		b.reopen(c.At)
+		s := tally[b.part]
+		if s == nil {
+			continue
+		}
+		b.update(s)
+		out = append(out, b.change(Opened, "crash of a trial", s, now))
+	}
+	return out
+}
+
+// releaseSound releases the breakers of the parts that have been sound since they were opened.
+func (q *Quarantine) releaseSound(now time.Time) []Change {
+	var out []Change
+	for _, b := range q.sorted() {
+		if at := q.evidence.soundAt(b.part); b.standing() && at.After(b.openedAt) {
+			b.release(at)
+			out = append(out, b.change(Released, "sound run", nil, now))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/quarantine/suite_test.go
@@ -0,0 +1,9 @@
+package quarantine_test
+
+import (
+	"testing"
+
+	"bilberrylug.dev/core/testkit"
+)
+
+func TestQuarantine(t *testing.T) { testkit.Run(t, "quarantine") }
