--- a/core/wireconv/wireconv.go
+++ b/core/wireconv/wireconv.go
@@ -1,4 +1,5 @@
-// Package wireconv converts between wire messages and the types of the journal, membership, balancer and fault packages.
+// Package wireconv converts between wire messages and the types of the journal, membership, balancer, quarantine
+// and fault packages.
 //
 // # Usage
 //
