--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -53,6 +53,9 @@
 	CopyFreed           = Kind{"EV4312", slog.LevelInfo, "copy of a generation's KV cache freed", noAction}
 	CopyNotFreed        = Kind{"EV4313", slog.LevelInfo, "freeing a copy of a generation's KV cache failed", "None; the upstream frees it after a few seconds."}
 	CallerClosed        = Kind{"EV4311", slog.LevelInfo, "connection of a caller closed at a time limit", "None; the limits are those of the configuration."}
+	PromptSuspected     = Kind{"EV4314", slog.LevelWarn, "upstream crashed as it began an answer", "None, unless it persists; the parts of its prompt are suspected."}
+	PartQuarantine      = Kind{"EV4315", slog.LevelWarn, "quarantine of a prompt part changed", "Find the prompt that holds the part; requests with an opened part are refused, since it crashes upstreams."}
+	QuarantineTrial     = Kind{"EV4316", slog.LevelInfo, "request sent as a trial of a quarantined prompt part", "None; its outcome ends or renews the quarantine."}
 	CallUnknown         = Kind{"EV5001", slog.LevelWarn, "outcome of a call is unknown", "Look up the record at the service by its idempotency key."}
 	CallCancelled       = Kind{"EV5002", slog.LevelInfo, "call cancelled through the ledger", noAction}
 	LedgerWriteLost     = Kind{"EV5003", slog.LevelWarn, "reply to a ledger write lost", "None; the bucket is read back."}
@@ -70,6 +73,7 @@
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
 	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnded, CopyCreated, CopyFailed, CopyFreed, CopyNotFreed, PromptListFailed, RequestWaiting, PromptsReceived, TimeLimitFailed, CallerClosed,
+	PromptSuspected, PartQuarantine, QuarantineTrial,
 	CallUnknown, CallCancelled, LedgerWriteLost,
 	LeaseAcquired, LeaseLost, OrderGiven, OrderRefused,
 }
--- a/core/fault/code.go
+++ b/core/fault/code.go
@@ -25,6 +25,7 @@
 	ModelNotLoaded     Code = "model_not_loaded"
 	MemoryLimit        Code = "memory_limit"
 	NoWitness          Code = "no_witness"
+	PromptQuarantined  Code = "prompt_quarantined"
 	LedgerUnavailable  Code = "ledger_unavailable"
 	LedgerFull         Code = "ledger_full"
 	CallCancelled      Code = "call_cancelled"
