--- a/core/quarantine/breaker.go
+++ b/core/quarantine/breaker.go
@@ -39,10 +39,14 @@
 type breaker struct {
 	part Part
 	// epoch counts how often the breaker was opened. The routers agree on the state of the highest epoch.
-	epoch      uint32
-	openedAt   time.Time
-	openFor    time.Duration
+	epoch    uint32
+	openedAt time.Time
+	openFor  time.Duration
+	// releasedAt is the time of the sound run that released the part.
 	releasedAt time.Time
+	// suspended is set while this router's own evidence, which is no less than that on which the breaker was opened, does not
+	// convict the part. Unlike a release this is not reported, since another router may know more.
+	suspended bool
 	// alternatives are parts that explain the crashes as well. A request without one of them may be a trial.
 	alternatives []Part
 	// crashes and routers are the evidence that the breaker was opened on.
@@ -54,9 +58,15 @@
 }
 
 func (b *breaker) standing() bool            { return b.releasedAt.IsZero() }
-func (b *breaker) isOpen(now time.Time) bool { return b.standing() && now.Before(b.until()) }
+func (b *breaker) isOpen(now time.Time) bool { return b.active() && now.Before(b.until()) }
+func (b *breaker) active() bool              { return b.standing() && !b.suspended }
 func (b *breaker) until() time.Time          { return b.openedAt.Add(b.openFor) }
-func (b *breaker) release(at time.Time)      { b.releasedAt = at }
+
+// release closes the breaker after a sound run.
+func (b *breaker) release(at time.Time) {
+	b.releasedAt = at
+	b.suspended = false
+}
 
 // reopen opens the breaker again after the crash of a trial.
 func (b *breaker) reopen(at time.Time) {
@@ -73,12 +83,8 @@
 	b.routers = slices.Clone(s.routers)
 }
 
-// open opens the breaker of a part, unless it was released after all evidence or too many stand. It returns nil then.
+// open opens the breaker of a part, unless too many stand. It returns nil then.
 func (q *Quarantine) open(s *suspicion, now time.Time) *breaker {
-	b := q.breakers[s.part]
-	if b != nil && !s.lastAt.After(b.releasedAt) {
-		return nil
-	}
 	standing := 0
 	for _, other := range q.breakers {
 		if other.isOpen(now) {
@@ -88,6 +94,12 @@
 	if standing >= maxStanding {
 		return nil
 	}
+	b := q.breakers[s.part]
+	if b != nil && b.suspended {
+		b.suspended = false
+		b.update(s)
+		return b
+	}
 	opened := &breaker{part: s.part, epoch: 1, openedAt: s.lastAt, openFor: openTime}
 	if s.everSound() {
 		opened.openFor = soundOpenTime
--- a/core/quarantine/check.go
+++ b/core/quarantine/check.go
@@ -35,7 +35,7 @@
 	var trials []*breaker
 	for _, p := range parts {
 		b := q.breakers[p]
-		if b == nil || !b.standing() {
+		if b == nil || !b.active() {
 			continue
 		}
 		v = q.describe(b, parts, now)
@@ -67,7 +67,7 @@
 	halfOpen := b.until().Add(time.Duration(stagger * halfOpenSpread * float64(b.openFor)))
 	for _, p := range b.alternatives {
 		other := q.breakers[p]
-		if other != nil && other.standing() && !slices.Contains(parts, p) {
+		if other != nil && other.active() && !slices.Contains(parts, p) {
 			return b.openedAt.Add(time.Duration(stagger * float64(alternativeSpread)))
 		}
 	}
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -67,10 +67,11 @@
 	e.crashes = slices.Delete(e.crashes, 0, fresh)
 }
 
-// addSound records a sound run of a part, at this router if own is set.
-func (e *evidence) addSound(p Part, at time.Time, own bool) {
+// addSound records a sound run of a part, at this router if own is set, and reports whether it is the last one.
+func (e *evidence) addSound(p Part, at time.Time, own bool) bool {
 	s := e.soundRun(p)
-	if at.After(s.at) {
+	last := at.After(s.at)
+	if last {
 		s.at = at
 	}
 	if own && at.After(s.ownAt) {
@@ -80,6 +81,7 @@
 		e.olderSound, e.sound = e.sound, make(map[Part]soundRun)
 	}
 	e.sound[p] = s
+	return last
 }
 
 func (e *evidence) soundRun(p Part) soundRun {
@@ -92,26 +94,20 @@
 // soundAt returns when a part was last sound, or the zero time.
 func (e *evidence) soundAt(p Part) time.Time { return e.soundRun(p).at }
 
-// tally returns the evidence against each part: the incarnations that have crashed under it since its last sound run.
+// tally returns the evidence on each part of the recent crashes.
 func (e *evidence) tally(now time.Time) map[Part]*suspicion {
 	e.expire(now)
 	out := map[Part]*suspicion{}
 	for _, c := range e.crashes {
 		for _, p := range c.Parts {
-			sound := e.soundAt(p)
-			if !c.At.After(sound) {
-				continue
+			if out[p] == nil {
+				out[p] = newSuspicion(p, e.soundAt(p))
 			}
-			s := out[p]
-			if s == nil {
-				s = &suspicion{part: p, soundAt: sound, crashes: map[incarnation]time.Time{}}
-				out[p] = s
-			}
-			s.add(c)
+			out[p].add(c)
 		}
 	}
 	for _, s := range out {
-		s.count = s.incidents(nil)
+		s.sum()
 	}
 	return out
 }
--- a/core/quarantine/merge.go
+++ b/core/quarantine/merge.go
@@ -15,11 +15,15 @@
 		return nil
 	}
 	q.forget(now)
+	affected := false
 	for _, s := range r.Sound[:min(len(r.Sound), maxReportSound)] {
-		q.evidence.addSound(s.Part, now.Add(-max(0, s.Age)), false)
+		affected = q.addSound(s.Part, now.Add(-max(0, s.Age)), false) || affected
 	}
 	var out []Change
 	for _, b := range r.Breakers[:min(len(r.Breakers), maxReportBreakers)] {
+		if b.Released {
+			affected = q.addSound(b.Part, now.Add(-max(0, b.ReleasedAge)), false) || affected
+		}
 		if c, changed := q.mergeBreaker(router, b, now); changed {
 			out = append(out, c)
 		}
@@ -38,7 +42,7 @@
 		out = append(out, q.renew(c, now)...)
 	}
 	out = append(out, q.releaseSound(now)...)
-	if len(added) > 0 || len(out) > 0 {
+	if affected || len(added) > 0 || len(out) > 0 {
 		out = append(out, q.assess(now)...)
 	}
 	return out
@@ -79,6 +83,7 @@
 		b.openedAt = reported.openedAt
 	}
 	b.openFor = min(b.openFor, reported.openFor)
+	b.crashes = max(b.crashes, reported.crashes)
 	if reported.standing() {
 		return Change{}, false
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -104,9 +104,7 @@
 func (q *Quarantine) RecordSound(parts []Part, now time.Time) []Change {
 	affected := false
 	for _, p := range parts[:min(len(parts), maxParts)] {
-		q.evidence.addSound(p, now, true)
-		b := q.breakers[p]
-		affected = affected || b != nil && b.standing()
+		affected = q.addSound(p, now, true) || affected
 	}
 	if !affected {
 		return nil
@@ -114,24 +112,32 @@
 	return append(q.releaseSound(now), q.assess(now)...)
 }
 
-// assess opens the breakers of the parts that the evidence convicts, and releases those whose evidence others explain.
+// addSound records a sound run of a part and reports whether this may change the state of breakers.
+func (q *Quarantine) addSound(p Part, at time.Time, own bool) bool {
+	b := q.breakers[p]
+	return q.evidence.addSound(p, at, own) && b != nil && b.standing()
+}
+
+// assess opens the breakers of the parts that the evidence convicts, and suspends those that it does not convict.
 func (q *Quarantine) assess(now time.Time) []Change {
 	q.forget(now)
 	tally := q.evidence.tally(now)
 	blamed := blame(tally)
 	var out []Change
 	for _, b := range q.sorted() {
-		if s := tally[b.part]; b.standing() && s != nil && s.count >= s.threshold() && blamed[b.part] == nil {
-			b.release(now)
-			out = append(out, b.change(Released, "other parts explain the crashes", s, now))
+		s := tally[b.part]
+		if b.active() && s != nil && blamed[b.part] == nil && s.total >= max(crashThreshold, b.crashes) {
+			b.suspended = true
+			out = append(out, b.change(Released, "not convicted by the evidence", s, now))
 		}
 	}
 	for _, s := range byWeight(blamed) {
-		if b := q.breakers[s.part]; b != nil && b.standing() {
+		b := q.breakers[s.part]
+		if b != nil && b.active() {
 			b.update(s)
 			continue
 		}
-		if b := q.open(s, now); b != nil {
+		if b = q.open(s, now); b != nil {
 			out = append(out, b.change(Opened, "crashes", s, now))
 		}
 	}
@@ -143,7 +149,7 @@
 	var halfOpen []*breaker
 	for _, p := range c.Parts {
 		b := q.breakers[p]
-		if b == nil || !b.standing() || q.evidence.soundAt(p).After(c.At) {
+		if b == nil || !b.active() || q.evidence.soundAt(p).After(c.At) {
 			continue
 		}
 		if !c.At.After(b.until()) {
@@ -152,6 +158,9 @@
 		}
 		halfOpen = append(halfOpen, b)
 	}
+	if len(halfOpen) == 0 {
+		return nil
+	}
 	tally := q.evidence.tally(now)
 	var out []Change
 	for _, b := range halfOpen {
@@ -170,7 +179,7 @@
 func (q *Quarantine) releaseSound(now time.Time) []Change {
 	var out []Change
 	for _, b := range q.sorted() {
-		if at := q.evidence.soundAt(b.part); b.standing() && at.After(b.openedAt) {
+		if at := q.evidence.soundAt(b.part); b.standing() && !at.Before(b.openedAt) {
 			b.release(at)
 			out = append(out, b.change(Released, "sound run", nil, now))
 		}
--- a/core/quarantine/report.go
+++ b/core/quarantine/report.go
@@ -79,7 +79,8 @@
 	}
 	for _, b := range q.newestBreakers() {
 		suspects[b.part] = true
-		if !b.standing() && now.Sub(b.releasedAt) >= releaseReportTime || len(r.Breakers) >= maxReportBreakers {
+		lapsed := !b.standing() && now.Sub(b.releasedAt) >= releaseReportTime
+		if lapsed || b.suspended || len(r.Breakers) >= maxReportBreakers {
 			continue
 		}
 		r.Breakers = append(r.Breakers, b.report(now))
--- a/core/quarantine/suspicion.go
+++ b/core/quarantine/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,31 +17,62 @@
 	soundIncidentTime = time.Second
 )
 
-// suspicion is the evidence against a part.
+// suspicion is the evidence on a part.
 type suspicion struct {
 	part    Part
 	soundAt time.Time
-	crashes map[incarnation]time.Time
-	routers []ids.VM
-	lastAt  time.Time
-	// count is the number of incidents.
-	count int
+	// crashes are the incarnations that have crashed under the part since its last sound run, earlier those before it.
+	crashes, earlier map[incarnation]time.Time
+	routers          []ids.VM
+	lastAt           time.Time
+	// count is the number of incidents since the last sound run, total that of all.
+	count, total int
 	// alternatives are the parts that explain the crashes as well.
 	alternatives []Part
 }
 
-// add adds a crash later than those added before.
+func newSuspicion(p Part, soundAt time.Time) *suspicion {
+	return &suspicion{part: p, soundAt: soundAt, crashes: map[incarnation]time.Time{}}
+}
+
+// add adds a crash that is not earlier than those added before.
 func (s *suspicion) add(c Crash) {
 	key := incarnation{c.Upstream, c.Started}
-	if _, known := s.crashes[key]; !known {
-		s.crashes[key] = c.At
+	if !c.At.After(s.soundAt) {
+		if s.earlier == nil {
+			s.earlier = map[incarnation]time.Time{}
+		}
+		addFirst(s.earlier, key, c.At)
+		return
 	}
+	addFirst(s.crashes, key, c.At)
 	if !slices.Contains(s.routers, c.Router) {
 		s.routers = append(s.routers, c.Router)
 	}
 	s.lastAt = c.At
 }
 
+func addFirst(times map[incarnation]time.Time, key incarnation, at time.Time) {
+	if _, known := times[key]; !known {
+		times[key] = at
+	}
+}
+
+// sum counts the incidents.
+func (s *suspicion) sum() {
+	s.count = incidents(s.crashes, nil, s.incidentTime())
+	s.total = s.count
+	if s.everSound() {
+		all := maps.Clone(s.crashes)
+		for key, at := range s.earlier {
+			all[key] = at
+		}
+		s.total = incidents(all, nil, incidentTime)
+	}
+}
+
+func (s *suspicion) everSound() bool { return !s.soundAt.IsZero() }
+
 func (s *suspicion) threshold() int {
 	if s.everSound() {
 		return soundCrashThreshold
@@ -48,26 +80,27 @@
 	return crashThreshold
 }
 
-func (s *suspicion) everSound() bool { return !s.soundAt.IsZero() }
+func (s *suspicion) incidentTime() time.Duration {
+	if s.everSound() {
+		return soundIncidentTime
+	}
+	return incidentTime
+}
 
 // explains reports whether s accounts for the crashes of other but for coincidences.
 func (s *suspicion) explains(other *suspicion) bool {
-	return other.incidents(s.crashes) <= coincidences
+	return incidents(other.crashes, s.crashes, other.incidentTime()) <= coincidences
 }
 
 // incidents returns the number of incidents among the crashes, without those in except.
-func (s *suspicion) incidents(except map[incarnation]time.Time) int {
-	times := make([]time.Time, 0, len(s.crashes))
-	for key, at := range s.crashes {
+func incidents(crashes, except map[incarnation]time.Time, window time.Duration) int {
+	times := make([]time.Time, 0, len(crashes))
+	for key, at := range crashes {
 		if _, explained := except[key]; !explained {
 			times = append(times, at)
 		}
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	window := incidentTime
-	if s.everSound() {
-		window = soundIncidentTime
-	}
 	n := 0
 	var first time.Time
 	for _, at := range times {
@@ -89,31 +122,37 @@
 		}
 	}
 	out := map[Part]*suspicion{}
+	var kept []*suspicion
 	for _, s := range byWeight(suspects) {
-		var alternatives []Part
-		explained := false
-		for _, other := range byWeight(out) {
-			if !other.explains(s) {
-				continue
-			}
-			if other.everSound() != s.everSound() || !s.explains(other) {
-				explained = true
-				break
-			}
-			alternatives = append(alternatives, other.part)
-		}
-		if explained {
+		alternatives, explained := s.alternativesAmong(kept)
+		if explained || len(kept) == maxBreakers {
 			continue
 		}
-		s.alternatives = alternatives
-		for _, p := range alternatives {
-			out[p].alternatives = append(out[p].alternatives, s.part)
+		for _, other := range alternatives {
+			s.alternatives = append(s.alternatives, other.part)
+			other.alternatives = append(other.alternatives, s.part)
 		}
+		kept = append(kept, s)
 		out[s.part] = s
 	}
 	return out
 }
 
+// alternativesAmong returns those of the suspects, which have no less against them, that explain the crashes of s as well as
+// s explains theirs, or that one explains them better.
+func (s *suspicion) alternativesAmong(suspects []*suspicion) (alternatives []*suspicion, explained bool) {
+	for _, other := range suspects {
+		if !other.explains(s) {
+			continue
+		}
+		if other.everSound() != s.everSound() || !s.explains(other) {
+			return nil, true
+		}
+		alternatives = append(alternatives, other)
+	}
+	return alternatives, false
+}
+
 // byWeight returns the suspects in a fixed order: first those that have never been sound, then by the number of incidents.
 func byWeight(suspects map[Part]*suspicion) []*suspicion {
 	out := make([]*suspicion, 0, len(suspects))
