Prompts with a part that crashes engines are not sent to engines any more

Cause: a run that ends with its engine was always resumed elsewhere, and nothing connected the losses that runs with the same part had caused, neither within a router nor between routers. The class: a retry of what is itself the cause of the failure (a query of death). Change: core/quarantine decides, router/direct records evidence for it: a crash, if the signed answer had begun, fewer than three events had come, the connection was broken off and the upstream answers no probe; a sound run, with its third event or its end. Each attempt is checked; a quarantined prompt is refused at once with BL1112 and the time until the part is tried again, and runs that have not proved their prompts sound are ended before they crash their engines. Routers report what they saw with their state updates.

--- a/core/quarantine/check.go
+++ b/core/quarantine/check.go
@@ -23,6 +23,8 @@
 	Routers []ids.VM
 	// Alternatives is the number of other parts that explain the crashes as well.
 	Alternatives int
+	// Discriminates is set if the request lacks one of those, so that its outcome tells which part is to blame.
+	Discriminates bool
 }
 
 // Check decides whether a request may be sent to an engine, at each attempt. A request that is allowed as a trial holds the
@@ -57,21 +59,25 @@
 func (q *Quarantine) describe(b *breaker, parts []Part, now time.Time) Verdict {
 	return Verdict{
 		Part: b.part, Epoch: b.epoch, Age: now.Sub(b.openedAt), Remaining: max(0, q.trialAt(b, parts).Sub(now)),
-		Crashes: b.crashes, Routers: b.routers, Alternatives: len(b.alternatives),
+		Crashes: b.crashes, Routers: b.routers, Alternatives: len(b.alternatives), Discriminates: q.discriminates(b, parts),
 	}
 }
 
+// discriminates reports whether the parts lack one that explains the crashes under the breaker's part as well.
+func (q *Quarantine) discriminates(b *breaker, parts []Part) bool {
+	return slices.ContainsFunc(b.alternatives, func(p Part) bool {
+		other := q.breakers[p]
+		return other != nil && other.active() && !slices.Contains(parts, p)
+	})
+}
+
 // trialAt returns from when on this router admits a request with the given parts as a trial of one of them.
 func (q *Quarantine) trialAt(b *breaker, parts []Part) time.Time {
 	stagger := q.stagger(b)
-	halfOpen := b.until().Add(time.Duration(stagger * halfOpenSpread * float64(b.openFor)))
-	for _, p := range b.alternatives {
-		other := q.breakers[p]
-		if other != nil && other.active() && !slices.Contains(parts, p) {
-			return b.openedAt.Add(time.Duration(stagger * float64(alternativeSpread)))
-		}
+	if q.discriminates(b, parts) {
+		return b.openedAt.Add(time.Duration(stagger * float64(alternativeSpread)))
 	}
-	return halfOpen
+	return b.until().Add(time.Duration(stagger * halfOpenSpread * float64(b.openFor)))
 }
 
 // EndTrial ends the trials that a request holds, once it has ended.
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -37,6 +37,8 @@
 	MaxOutput int
 	// Name identifies the prompt among those in an engine's KV cache.
 	Name string
+	// Parts names the parts of the prompt in order. Requests share all but the last one, which has the prompt's name.
+	Parts []string
 }
 
 // Attempt is one attempt to run a request on an upstream.
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/quarantine"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/sse"
 	"bilberrylug.dev/router/upstream"
@@ -44,6 +45,7 @@
 	if !reply.Signed {
 		return errors.New("the answer is not signed")
 	}
+	r.answering = true
 	return s.forwardEvents(resp, r)
 }
 
@@ -87,18 +89,17 @@
 			return errTruncated
 		}
 		if errors.Is(err, io.EOF) {
+			if !upstream.CloseDelimited(resp) {
+				s.recordSound()
+			}
 			return s.complete(resp)
 		}
 		if err != nil {
 			return cause(s.ctx, err)
 		}
-		if err := r.observeID(e); err != nil {
+		if err := s.observe(r, e); err != nil {
 			return err
 		}
-		if first {
-			s.recordFirstEvent(r)
-		}
-		r.stall.observe(s.clock.Now())
 		if err := s.forwardEvent(resp, e); err != nil {
 			return err
 		}
@@ -107,6 +108,21 @@
 	}
 }
 
+// observe records an event of a run. It returns an error if the run does not go on in order.
+func (s *stream) observe(r *run, e sse.Event) error {
+	if err := r.observeID(e); err != nil {
+		return err
+	}
+	if r.stall.events == 0 {
+		s.recordFirstEvent(r)
+	}
+	r.stall.observe(s.clock.Now())
+	if r.stall.events == quarantine.SoundEvents {
+		s.recordSound()
+	}
+	return nil
+}
+
 // lacksEvents reports whether a run that has sent no event was broken off: a body that ends with its connection does not show
 // its end. A caller that has events may have them all.
 func (s *stream) lacksEvents(resp *http.Response) bool {
--- /dev/null
+++ b/router/direct/quarantine.go
@@ -0,0 +1,124 @@
+package direct
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"syscall"
+
+	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/quarantine"
+	"bilberrylug.dev/core/sse"
+)
+
+// quarantineError ends a generation a part of whose prompt is quarantined.
+type quarantineError struct{ verdict quarantine.Verdict }
+
+// Error returns the part and the evidence against it.
+func (e *quarantineError) Error() string {
+	return fmt.Sprintf("prompt part %s is quarantined after %d crashes of upstreams", e.verdict.Part, e.verdict.Crashes)
+}
+
+// fault returns the refusal, which tells the caller when the part is tried again.
+func (e *quarantineError) fault() error {
+	f := fault.New(fault.PromptQuarantined, "%s", e.Error())
+	f.Kind.RetryAfter = e.verdict.Remaining
+	return f
+}
+
+// checkQuarantine returns a [quarantineError] if the generation must not be sent to an upstream.
+func (s *stream) checkQuarantine() error {
+	v := locked(&s.state.mu, func() quarantine.Verdict { return s.quarantine.Check(s.req.ID, s.parts, s.clock.Now()) })
+	if !v.Allowed {
+		return &quarantineError{v}
+	}
+	if v.Trial {
+		s.log.Write(event.QuarantineTrial, append([]any{"request", s.req.ID}, v.LogFields()...)...)
+	}
+	return nil
+}
+
+// checkRunning returns a [quarantineError] if a run that has not proved its prompt sound should be ended before it crashes its
+// upstream. A run that helps to tell which of several parts is to blame goes on.
+func (s *stream) checkRunning(r *run) error {
+	if r.stall.events >= quarantine.SoundEvents {
+		return nil
+	}
+	v := locked(&s.state.mu, func() quarantine.Verdict { return s.quarantine.Check(s.req.ID, s.parts, s.clock.Now()) })
+	if v.Allowed || v.Discriminates {
+		return nil
+	}
+	return &quarantineError{v}
+}
+
+// endTrial ends the trials that the request holds.
+func (s *stream) endTrial() {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.quarantine.EndTrial(s.req.ID)
+}
+
+// recordSound records that a run has outlived its first events.
+func (s *stream) recordSound() {
+	s.applyQuarantine(locked(&s.state.mu, func() []quarantine.Change { return s.quarantine.RecordSound(s.parts, s.clock.Now()) }))
+}
+
+// recordCrash records that an upstream that answers no probe has ended as it began the answer, which is evidence against the parts of
+// the prompt.
+func (s *stream) recordCrash(r *run, err error) {
+	if !r.answering || r.stall.events >= quarantine.SoundEvents || len(s.parts) == 0 || !brokenOff(err) {
+		return
+	}
+	s.log.Write(event.PromptSuspected, "request", s.req.ID, "upstream", r.upstream.ID, "started", r.upstream.Started,
+		"parts", s.parts, "events", r.stall.events, "error", err.Error())
+	s.metrics.Counter("prompt_crashes", "service", string(s.service.Name)).Inc(1)
+	changes := locked(&s.state.mu, func() []quarantine.Change {
+		return s.quarantine.RecordCrash(quarantine.Crash{
+			Request: s.req.ID, Parts: s.parts, Upstream: r.upstream.ID, Started: r.upstream.Started, At: s.clock.Now(),
+		})
+	})
+	s.applyQuarantine(changes)
+	s.broadcastSoon()
+}
+
+// brokenOff reports whether an error says that the upstream has closed or reset the connection within an answer.
+func brokenOff(err error) bool {
+	var network *net.OpError
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, sse.ErrTruncated) || errors.Is(err, errTruncated) || errors.As(err, &network) && !network.Timeout()
+}
+
+// applyQuarantine logs decisions on parts of prompts, and makes the runs with a part that has just been quarantined check whether they
+// should end.
+func (st *state) applyQuarantine(changes []quarantine.Change) {
+	for _, c := range changes {
+		st.log.Write(event.PartQuarantine, c.LogFields()...)
+		if c.State != quarantine.Opened {
+			continue
+		}
+		for _, s := range st.runningWith(c.Part) {
+			s.wake()
+		}
+	}
+	if len(changes) > 0 {
+		st.broadcastSoon()
+	}
+}
+
+// runningWith returns the running streams whose prompts have a part.
+func (st *state) runningWith(p quarantine.Part) []*stream {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var out []*stream
+	for _, streams := range st.running {
+		for s := range streams {
+			if slices.Contains(s.parts, p) {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
--- a/router/direct/resume.go
+++ b/router/direct/resume.go
@@ -17,6 +17,9 @@
 
 // checkResume returns nil if a failed generation may be resumed, and its final fault otherwise.
 func (s *stream) checkResume(err error) error {
+	if q := (*quarantineError)(nil); errors.As(err, &q) {
+		return q.fault()
+	}
 	switch {
 	case s.headerSent:
 		return s.awaitResume(err)
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -36,6 +36,8 @@
 	slowness float64
 	placedAt time.Time
 	stall    stallDetector
+	// answering is set once the upstream has begun its answer.
+	answering bool
 	// lastID is the ID of the last event that the upstream sent, if hasID is set.
 	lastID uint64
 	hasID  bool
@@ -63,6 +65,9 @@
 
 // runOnce places the generation on an upstream and runs it there. A nil error means that the caller has the final answer.
 func (s *stream) runOnce() error {
+	if err := s.checkQuarantine(); err != nil {
+		return err
+	}
 	r, err := s.place()
 	if err != nil {
 		return err
@@ -115,7 +120,7 @@
 		s.state.mu.Unlock()
 	}
 	switch {
-	case s.callerLost(err):
+	case s.callerLost(err), errors.As(err, new(*quarantineError)):
 	case errors.Is(err, errNotRun), errors.Is(err, errHung), errors.Is(err, errUpstreamSlow):
 		s.tried[r.upstream.ID] = true
 	case errors.Is(err, errAddressReused):
@@ -127,8 +132,11 @@
 	case errors.Is(err, sse.ErrTooLong), errors.Is(err, errRepeats), fault.CodeOf(err) == fault.ReplyTooLarge:
 		s.tried[r.upstream.ID] = true
 		s.recordFailure(r)
-	case s.failedAlive[r.upstream.ID] || !s.prober.alive(r.upstream):
+	case s.failedAlive[r.upstream.ID]:
+		s.abandon(r, err)
+	case !s.prober.alive(r.upstream):
 		s.abandon(r, err)
+		s.recordCrash(r, err)
 	default:
 		// The upstream answers probes and has the prompt in its KV cache, so it may be chosen once more.
 		s.failedAlive[r.upstream.ID] = true
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -99,6 +99,9 @@
 	if !s.route.Retryable() {
 		return reprobeInterval, nil
 	}
+	if err := s.checkRunning(r); err != nil {
+		return 0, err
+	}
 	if r.stall.events == 0 {
 		if err := s.checkFirstEvent(r); err != nil {
 			return 0, err
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -14,6 +14,7 @@
 	"bilberrylug.dev/core/metric"
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/placement"
+	"bilberrylug.dev/core/quarantine"
 	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/core/shutdown"
 	"bilberrylug.dev/core/store"
@@ -75,6 +76,8 @@
 	renamed []renamedUpstream
 	// peers tracks which other routers serve and which are stopping.
 	peers *shutdown.Fleet
+	// quarantine decides which prompts are no longer sent to engines because a part of them crashes engines.
+	quarantine *quarantine.Quarantine
 	// tokenTime is the mean time per output token over all engines.
 	tokenTime placement.TokenTime
 	// startedAt is when the process started.
@@ -89,9 +92,10 @@
 		clock: o.Clock, log: o.Log, metrics: metric.New(), decode: o.Decode,
 		pool:   upstream.NewPool(o.Dial, o.Clock, limits.poolLimits()),
 		limits: limits, answers: newAnswerMemory(cfg.MemoryMegabytes),
-		fleet:    fleet.New(reregisterTime),
-		picker:   placement.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, LoadTracker: placement.NewLoadTracker()},
-		limiters: map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
+		fleet:      fleet.New(reregisterTime),
+		picker:     placement.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, LoadTracker: placement.NewLoadTracker()},
+		quarantine: quarantine.New(cfg.VM),
+		limiters:   map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(),
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -10,12 +10,15 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/placement"
+	"bilberrylug.dev/core/quarantine"
 )
 
 // stream is the generation for one request, over all its runs at upstreams.
 type stream struct {
 	*exchange
-	model        placement.EngineModel
+	model placement.EngineModel
+	// parts are the parts of the prompt that other requests may share.
+	parts        []quarantine.Part
 	placementReq placement.Request
 	// lastEventID is the ID of the last event that was forwarded or that the caller already had.
 	lastEventID uint64
@@ -54,8 +57,9 @@
 	s := &stream{
 		exchange: x, model: x.engineModel(), lastEventID: x.req.LastEventID, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
 		failedDomains: map[ids.FailureDomain]bool{}, failedAlive: map[ids.VM]bool{},
-		placementReq: x.placementRequest(),
+		placementReq: x.placementRequest(), parts: quarantine.Parts(x.req.Prompt.Model, x.req.Prompt.Parts),
 	}
+	defer s.endTrial()
 	defer func() { s.freeCopy(s.resumeCopy) }()
 	for {
 		err := s.runOnce()
--- a/router/direct/updates.go
+++ b/router/direct/updates.go
@@ -11,7 +11,9 @@
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/placement"
+	"bilberrylug.dev/core/quarantine"
 	"bilberrylug.dev/core/wire"
+	"bilberrylug.dev/core/wireconv"
 )
 
 const (
@@ -69,6 +71,7 @@
 	for service, c := range st.budget.OwnCounts(now) {
 		n.Counts = append(n.Counts, &wire.Counts{Service: string(service), Requests: uint32(c.Requests), Repeats: uint32(c.Retries)})
 	}
+	n.Quarantine = wireconv.QuarantineToWire(st.quarantine.Report(now))
 	st.renamed = slices.DeleteFunc(st.renamed, func(r renamedUpstream) bool { return now.Sub(r.renamedAt) > identityBroadcastTime })
 	for _, r := range st.renamed {
 		if r.newID == "" {
@@ -101,6 +104,10 @@
 		}
 	}
 	st.applyReport(n, work, calls, slow, failing)
+	report := wireconv.QuarantineFromWire(n.GetQuarantine())
+	st.applyQuarantine(locked(&st.mu, func() []quarantine.Change {
+		return st.quarantine.Merge(ids.VM(n.GetSender()), report, st.clock.Now())
+	}))
 	for _, id := range n.GetReplaced() {
 		st.dropReplaced(ids.VM(id), ids.VM(n.GetSender()))
 	}
