core/quarantine: convict no part that was sound before while engines crash whatever they run

Such a part is now convicted only if runs without it are sound meanwhile. One that was never sound opens for ten seconds and not for five minutes while no run of its model is sound. The property begins its crashes after five seconds, since it is about parts that have sound runs; a new one checks the end of an outage, also one that begins with the first request.

--- a/core/quarantine/breaker.go
+++ b/core/quarantine/breaker.go
@@ -17,8 +17,12 @@
 	// maxOpenTime.
 	openTime    = 5 * time.Minute
 	maxOpenTime = time.Hour
-	// soundOpenTime is the first open time of a part that was sound before. Engines may crash under it for a cause that ends.
-	soundOpenTime = 30 * time.Second
+	// shortOpenTime is the first open time of a part that was sound before, or while no run of its model is sound: engines may
+	// crash for a cause that ends.
+	shortOpenTime = 10 * time.Second
+	// contrastRuns is the number of runs without a part that must be sound while those with it crash before a part that was
+	// sound before is convicted. Without them, engines may crash whatever they run.
+	contrastRuns = 8
 	// halfOpenSpread is the share of the open time over which the routers begin to admit trials, so that the first one's
 	// outcome reaches the others before they follow.
 	halfOpenSpread = 0.5
@@ -83,7 +87,7 @@
 	b.routers = slices.Clone(s.routers)
 }
 
-// open opens the breaker of a part, unless too many stand. It returns nil then.
+// open opens the breaker of a part and returns it, or nil if too many stand or if engines may crash whatever they run.
 func (q *Quarantine) open(s *suspicion, now time.Time) *breaker {
 	standing := 0
 	for _, other := range q.breakers {
@@ -100,9 +104,12 @@
 		b.update(s)
 		return b
 	}
+	if s.everSound() && q.evidence.soundRunsWithout(s.part, s.firstAt) < contrastRuns {
+		return nil
+	}
 	opened := &breaker{part: s.part, epoch: 1, openedAt: s.lastAt, openFor: openTime}
-	if s.everSound() {
-		opened.openFor = soundOpenTime
+	if s.everSound() || !q.evidence.modelSound(s.part, now) {
+		opened.openFor = shortOpenTime
 	}
 	if b != nil {
 		opened.epoch = b.epoch + 1
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -14,6 +14,8 @@
 	maxCrashes = 256
 	// maxSound bounds the parts whose last sound run is remembered, in each of two generations.
 	maxSound = 4096
+	// maxRuns bounds the sound runs that are kept.
+	maxRuns = 128
 )
 
 // incarnation is one start of an upstream.
@@ -28,6 +30,17 @@
 	crashes []Crash
 	// sound and olderSound are two generations of the parts that have been sound, so that the oldest are dropped.
 	sound, olderSound map[Part]soundRun
+	// models holds when a part of each model was last sound.
+	models map[modelHash]time.Time
+	// runs are the last sound runs at this router in a ring, whose oldest entry is at nextRun once it is full.
+	runs    []ownRun
+	nextRun int
+}
+
+// ownRun is a sound run at this router.
+type ownRun struct {
+	parts []Part
+	at    time.Time
 }
 
 // soundRun holds when a part was last sound at any router and at this one.
@@ -81,9 +94,45 @@
 		e.olderSound, e.sound = e.sound, make(map[Part]soundRun)
 	}
 	e.sound[p] = s
+	if e.models == nil {
+		e.models = map[modelHash]time.Time{}
+	}
+	if at.After(e.models[p.model()]) {
+		e.models[p.model()] = at
+	}
 	return last
 }
 
+// addSoundRun records a sound run at this router.
+func (e *evidence) addSoundRun(parts []Part, at time.Time) {
+	if len(parts) == 0 {
+		return
+	}
+	r := ownRun{slices.Clone(parts), at}
+	if len(e.runs) < maxRuns {
+		e.runs = append(e.runs, r)
+		return
+	}
+	e.runs[e.nextRun] = r
+	e.nextRun = (e.nextRun + 1) % maxRuns
+}
+
+// soundRunsWithout returns how many runs of the part's model at this router have been sound without the part since a time.
+func (e *evidence) soundRunsWithout(p Part, since time.Time) int {
+	n := 0
+	for _, r := range e.runs {
+		if r.at.After(since) && r.parts[0].model() == p.model() && !slices.Contains(r.parts, p) {
+			n++
+		}
+	}
+	return n
+}
+
+// modelSound reports whether any part of the part's model has been sound lately.
+func (e *evidence) modelSound(p Part, now time.Time) bool {
+	return now.Sub(e.models[p.model()]) < evidenceLifetime
+}
+
 func (e *evidence) soundRun(p Part) soundRun {
 	if s, known := e.sound[p]; known {
 		return s
--- a/core/quarantine/load_test.go
+++ b/core/quarantine/load_test.go
@@ -111,6 +111,7 @@
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
 			l := mixed(t)
 			l.domainCrashEvery = time.Duration(rapid.IntRange(5, 60).Draw(t, "crash of a domain every 100 ms")) * 100 * time.Millisecond
+			l.domainCrashFrom = 5 * time.Second
 			p := newPartPolicy(l.routers)
 			simulate(l, p)
 			if len(p.changes) > 0 {
@@ -118,6 +119,21 @@
 			}
 		})
 	})
+	It("admits sound requests again after an outage in which no run was sound", func() {
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			l := mixed(t)
+			l.domains = 1
+			l.domainCrashEvery = restartTime + time.Second
+			l.domainCrashFrom = time.Duration(rapid.IntRange(0, 10).Draw(t, "seconds before")) * time.Second
+			l.domainCrashUntil = l.domainCrashFrom + 12*time.Second
+			p := newPartPolicy(l.routers)
+			o := simulate(l, p)
+			from := l.domainCrashUntil + 2*restartTime + 15*time.Second
+			if refused, all := count(o.refused, from), count(o.sound, from); refused > 0 || all == 0 {
+				t.Fatalf("%d of %d sound requests refused after %v: %+v", refused, all, from, p.changes)
+			}
+		})
+	})
 	It("bounds what a router keeps and reports", func() {
 		rng := rand.New(rand.NewPCG(1, 2))
 		q, peer := quarantine.New("r0"), quarantine.New("r1")
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -42,9 +42,16 @@
 	maxParts = 32
 )
 
-// Part identifies a part of a prompt of a model by its hash.
+// Part identifies a part of a prompt of a model: the upper bits are a hash of the model, the others one of both.
 type Part uint64
 
+// modelShift is the number of bits of a Part that do not identify the model.
+const modelShift = 48
+
+type modelHash uint16
+
+func (p Part) model() modelHash { return modelHash(p >> modelShift) }
+
 // Parts returns the parts of a prompt that may be to blame for a crash, given the names of all its parts in order. The last
 // one belongs to the request or its session.
 func Parts(model string, names []string) []Part {
@@ -53,8 +60,9 @@
 	}
 	names = names[:min(len(names)-1, maxParts)]
 	out := make([]Part, 0, len(names))
+	hash := Part(xxhash.Sum64String(model)) << modelShift
 	for _, name := range names {
-		out = append(out, Part(xxhash.Sum64String(model+"\x00"+name)))
+		out = append(out, hash|Part(xxhash.Sum64String(model+"\x00"+name)>>(64-modelShift)))
 	}
 	return out
 }
@@ -102,8 +110,10 @@
 
 // RecordSound records that a run at this router has outlived its first events, and returns the decisions that follow from it.
 func (q *Quarantine) RecordSound(parts []Part, now time.Time) []Change {
+	parts = parts[:min(len(parts), maxParts)]
+	q.evidence.addSoundRun(parts, now)
 	affected := false
-	for _, p := range parts[:min(len(parts), maxParts)] {
+	for _, p := range parts {
 		affected = q.addSound(p, now, true) || affected
 	}
 	if !affected {
--- a/core/quarantine/suspicion.go
+++ b/core/quarantine/suspicion.go
@@ -24,7 +24,7 @@
 	// crashes are the incarnations that have crashed under the part since its last sound run, earlier those before it.
 	crashes, earlier map[incarnation]time.Time
 	routers          []ids.VM
-	lastAt           time.Time
+	firstAt, lastAt  time.Time
 	// count is the number of incidents since the last sound run, total that of all.
 	count, total int
 	// alternatives are the parts that explain the crashes as well.
@@ -49,6 +49,9 @@
 	if !slices.Contains(s.routers, c.Router) {
 		s.routers = append(s.routers, c.Router)
 	}
+	if s.firstAt.IsZero() {
+		s.firstAt = c.At
+	}
 	s.lastAt = c.At
 }
 
