core/quarantine: routers admit trials one after the other

The routers now begin in an order by hash, 3 s apart, and a trial that crashes opens the breaker for no less than a new verdict would: five minutes once runs of the model are sound.

--- a/core/quarantine/breaker.go
+++ b/core/quarantine/breaker.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"math"
 	"slices"
 	"time"
 
@@ -23,9 +22,11 @@
 	// contrastRuns is the number of runs without a part that must be sound while those with it crash before a part that was
 	// sound before is convicted. Without them, engines may crash whatever they run.
 	contrastRuns = 8
-	// halfOpenSpread is the share of the open time over which the routers begin to admit trials, so that the first one's
-	// outcome reaches the others before they follow.
-	halfOpenSpread = 0.5
+	// trialInterval is the interval at which one router after the other begins to admit trials of a half-open breaker, so that
+	// the outcome of the first one reaches the others before they follow.
+	trialInterval = 3 * time.Second
+	// peerLifetime is how long a router that has sent no report is counted in this order.
+	peerLifetime = 10 * time.Second
 	// alternativeSpread is the time over which the routers begin to admit trials of a part that is one of several suspects.
 	alternativeSpread = 3 * time.Second
 	// trialTime bounds a trial whose outcome is not recorded.
@@ -72,11 +73,11 @@
 	b.suspended = false
 }
 
-// reopen opens the breaker again after the crash of a trial.
-func (b *breaker) reopen(at time.Time) {
+// reopen opens the breaker again after the crash of a trial, for at least a given time.
+func (b *breaker) reopen(at time.Time, least time.Duration) {
 	b.epoch++
 	b.openedAt = at
-	b.openFor = min(2*b.openFor, maxOpenTime)
+	b.openFor = min(max(2*b.openFor, least), maxOpenTime)
 	b.trial, b.trialUntil = "", time.Time{}
 }
 
@@ -107,10 +108,7 @@
 	if s.everSound() && q.evidence.soundRunsWithout(s.part, s.firstAt) < contrastRuns {
 		return nil
 	}
-	opened := &breaker{part: s.part, epoch: 1, openedAt: s.lastAt, openFor: openTime}
-	if s.everSound() || !q.evidence.modelSound(s.part, now) {
-		opened.openFor = shortOpenTime
-	}
+	opened := &breaker{part: s.part, epoch: 1, openedAt: s.lastAt, openFor: q.leastOpenTime(s.part, now)}
 	if b != nil {
 		opened.epoch = b.epoch + 1
 	}
@@ -134,8 +132,13 @@
 	return true
 }
 
-// forget drops the breakers that no request has tried for long.
+// forget drops the breakers that no request has tried for long, and the routers that have sent no report for long.
 func (q *Quarantine) forget(now time.Time) {
+	for router, seen := range q.peers {
+		if now.Sub(seen) >= peerLifetime {
+			delete(q.peers, router)
+		}
+	}
 	for p, b := range q.breakers {
 		if now.Sub(b.until()) > breakerMemory {
 			delete(q.breakers, p)
@@ -153,13 +156,33 @@
 	return out
 }
 
-// stagger returns this router's share, from 0 to 1, of a time over which the routers begin to admit trials.
-func (q *Quarantine) stagger(b *breaker) float64 {
+// leastOpenTime returns how long the breaker of a part is open at first.
+func (q *Quarantine) leastOpenTime(p Part, now time.Time) time.Duration {
+	if !q.evidence.soundAt(p).IsZero() || !q.evidence.modelSound(p, now) {
+		return shortOpenTime
+	}
+	return openTime
+}
+
+// rank returns the number of routers that admit trials of a part before this one.
+func (q *Quarantine) rank(b *breaker, now time.Time) int {
+	own := trialOrder(b, q.router)
+	n := 0
+	for router, seen := range q.peers {
+		if now.Sub(seen) < peerLifetime && trialOrder(b, router) < own {
+			n++
+		}
+	}
+	return n
+}
+
+// trialOrder returns a router's place in the order in which routers admit trials of a part.
+func trialOrder(b *breaker, router ids.VM) uint64 {
 	var key [12]byte
 	binary.LittleEndian.PutUint64(key[:], uint64(b.part))
 	binary.LittleEndian.PutUint32(key[8:], b.epoch)
 	h := xxhash.New()
 	_, _ = h.Write(key[:])
-	_, _ = h.WriteString(string(q.router))
-	return float64(h.Sum64()) / math.MaxUint64
+	_, _ = h.WriteString(string(router))
+	return h.Sum64()
 }
--- a/core/quarantine/check.go
+++ b/core/quarantine/check.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -56,22 +57,23 @@
 
 func (q *Quarantine) describe(b *breaker, parts []Part, now time.Time) Verdict {
 	return Verdict{
-		Part: b.part, Epoch: b.epoch, Age: now.Sub(b.openedAt), Remaining: max(0, q.trialAt(b, parts).Sub(now)),
+		Part: b.part, Epoch: b.epoch, Age: now.Sub(b.openedAt), Remaining: max(0, q.trialAt(b, parts, now).Sub(now)),
 		Crashes: b.crashes, Routers: b.routers, Alternatives: len(b.alternatives),
 	}
 }
 
 // trialAt returns from when on this router admits a request with the given parts as a trial of one of them.
-func (q *Quarantine) trialAt(b *breaker, parts []Part) time.Time {
-	stagger := q.stagger(b)
-	halfOpen := b.until().Add(time.Duration(stagger * halfOpenSpread * float64(b.openFor)))
+func (q *Quarantine) trialAt(b *breaker, parts []Part, now time.Time) time.Time {
 	for _, p := range b.alternatives {
 		other := q.breakers[p]
 		if other != nil && other.active() && !slices.Contains(parts, p) {
-			return b.openedAt.Add(time.Duration(stagger * float64(alternativeSpread)))
+			return b.openedAt.Add(time.Duration(float64(trialOrder(b, q.router)) / math.MaxUint64 * float64(alternativeSpread)))
 		}
 	}
-	return halfOpen
+	if now.Before(b.until()) {
+		return b.until()
+	}
+	return b.until().Add(time.Duration(q.rank(b, now)) * trialInterval)
 }
 
 // EndTrial ends the trials that a request holds, once it has ended.
--- a/core/quarantine/merge.go
+++ b/core/quarantine/merge.go
@@ -8,10 +8,14 @@
 	"bilberrylug.dev/core/ids"
 )
 
-// Merge takes over another router's report and returns the decisions that follow from it. A report may arrive more than
-// once and in any order.
+// Merge takes over another router's report, also an empty one, and returns the decisions that follow from it. A report may
+// arrive more than once and in any order.
 func (q *Quarantine) Merge(router ids.VM, r Report, now time.Time) []Change {
-	if router == q.router || r.IsEmpty() {
+	if router == q.router {
+		return nil
+	}
+	q.peers[router] = now
+	if r.IsEmpty() {
 		return nil
 	}
 	q.forget(now)
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -85,11 +85,13 @@
 	router   ids.VM
 	evidence evidence
 	breakers map[Part]*breaker
+	// peers holds when each of the other routers last sent a report.
+	peers map[ids.VM]time.Time
 }
 
 // New returns an empty Quarantine of a router.
 func New(router ids.VM) *Quarantine {
-	return &Quarantine{router: router, breakers: map[Part]*breaker{}}
+	return &Quarantine{router: router, breakers: map[Part]*breaker{}, peers: map[ids.VM]time.Time{}}
 }
 
 // RecordCrash records a crash that this router has seen, and returns the decisions that follow from it.
@@ -174,7 +176,7 @@
 	tally := q.evidence.tally(now)
 	var out []Change
 	for _, b := range halfOpen {
-		b.reopen(c.At)
+		b.reopen(c.At, q.leastOpenTime(b.part, now))
 		s := tally[b.part]
 		if s == nil {
 			continue
