--- a/core/quarantine/check.go
+++ b/core/quarantine/check.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -58,7 +59,7 @@
 
 func (q *Quarantine) describe(b *breaker, parts []Part, now time.Time) Verdict {
 	return Verdict{
-		Part: b.part, Epoch: b.epoch, Age: now.Sub(b.openedAt), Remaining: max(0, q.trialAt(b, parts).Sub(now)),
+		Part: b.part, Epoch: b.epoch, Age: now.Sub(b.openedAt), Remaining: max(0, q.trialAt(b, parts, now).Sub(now)),
 		Crashes: b.crashes, Routers: b.routers, Alternatives: len(b.alternatives), Discriminates: q.discriminates(b, parts),
 	}
 }
@@ -72,12 +73,14 @@
 }
 
 // trialAt returns from when on this router admits a request with the given parts as a trial of one of them.
-func (q *Quarantine) trialAt(b *breaker, parts []Part) time.Time {
-	stagger := q.stagger(b)
+func (q *Quarantine) trialAt(b *breaker, parts []Part, now time.Time) time.Time {
 	if q.discriminates(b, parts) {
-		return b.openedAt.Add(time.Duration(stagger * float64(alternativeSpread)))
+		return b.openedAt.Add(time.Duration(float64(trialOrder(b, q.router)) / math.MaxUint64 * float64(alternativeSpread)))
 	}
-	return b.until().Add(time.Duration(stagger * halfOpenSpread * float64(b.openFor)))
+	if now.Before(b.until()) {
+		return b.until()
+	}
+	return b.until().Add(time.Duration(q.rank(b, now)) * trialInterval)
 }
 
 // EndTrial ends the trials that a request holds, once it has ended.
