Ordered copies that are replaced or dropped are freed

A copy was ordered at an upstream that was marked as lost before the order was complete, so that there was nothing to drop yet. The next refresh ordered a copy elsewhere, and only that one was freed when the run ended. Cause: a copier knew only the copy that it had ordered last. One that was replaced by a copy at another upstream, or dropped because its host was lost or only suspected, took memory and a slot there until it expired. So did one that was completed after the next run had been given another copy, and one from which the next run could not resume because its host was lost. Change: superseded copies are kept in a list, and freed by the goroutine that orders copies, between two orders: a call to free one can then not overtake an order that refreshes it. A copy that the next run may resume from is not replaced any more.

--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -37,12 +37,18 @@
 	backup    *kvCopy
 	ordered   *kvCopy
 	orderedAt time.Time
+	// superseded holds ordered copies that are to be freed: others have replaced them, or their hosts are lost. dropped receives
+	// a value when a host is lost.
+	superseded []*kvCopy
+	dropped    chan struct{}
+	// chosen is set once the next run may resume from the copy that was ordered last, which is not replaced from then on.
+	chosen bool
 	// ordered copies are made until the run ends; stopped is closed then. It is nil until the first copy has been lost.
 	stopped chan struct{}
 }
 
 func newCopier(s *stream, r *run) *copier {
-	c := &copier{s: s, r: r}
+	c := &copier{s: s, r: r, dropped: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	if r.backup != nil {
 		c.backup = &kvCopy{host: *r.backup, ref: relay.Copy{Address: r.backup.Address, Name: string(s.req.ID)}}
@@ -52,10 +58,11 @@
 
 func (c *copier) stop() { c.cancel() }
 
-// latest returns the copy from which the generation can be resumed, or nil.
-func (c *copier) latest() *kvCopy {
+// choose returns the copy from which the next run resumes, or nil. Copies that are completed later are freed.
+func (c *copier) choose() *kvCopy {
 	c.s.mu.Lock()
 	defer c.s.mu.Unlock()
+	c.chosen = true
 	if c.ordered != nil && c.s.clock.Since(c.orderedAt) < copyTTL {
 		return c.ordered
 	}
@@ -68,7 +75,12 @@
 		return k != nil && (k.host.ID == u.ID || wholeDomain && k.host.Domain == u.Domain)
 	}
 	if onLostHost(c.ordered) {
+		c.superseded = append(c.superseded, c.ordered)
 		c.ordered = nil
+		select {
+		case c.dropped <- struct{}{}:
+		default:
+		}
 	}
 	if !onLostHost(c.backup) {
 		return
@@ -81,7 +93,7 @@
 	c.s.prober.group.Go(c.run)
 }
 
-// run orders copies and refreshes them until the generation's run ends.
+// run orders copies, refreshes them and frees superseded ones until the generation's run ends.
 func (c *copier) run(ctx context.Context) {
 	defer close(c.stopped)
 	for c.ctx.Err() == nil {
@@ -90,9 +102,23 @@
 			pause = copyRetryDelay
 			c.s.log.Write(event.CopyFailed, "request", c.s.req.ID, "upstream", c.r.upstream.ID, "error", err.Error())
 		}
+		c.freeSuperseded(ctx)
+		c.pause(ctx, pause)
+	}
+	c.freeSuperseded(ctx)
+}
+
+// pause waits until the next order is due or the run has ended. Copies that are dropped meanwhile are freed at once.
+func (c *copier) pause(ctx context.Context, d time.Duration) {
+	due := c.s.clock.After(d)
+	for {
 		select {
 		case <-c.ctx.Done():
-		case <-c.s.clock.After(pause):
+			return
+		case <-due:
+			return
+		case <-c.dropped:
+			c.freeSuperseded(ctx)
 		}
 	}
 }
@@ -111,14 +137,26 @@
 	if err != nil {
 		return err
 	}
-	c.s.mu.Lock()
-	c.ordered = &kvCopy{host: to, ref: relay.Copy{Address: c.r.upstream.Address, Name: name}, source: c.r.upstream, ordered: true}
-	c.orderedAt = c.s.clock.Now()
-	c.s.mu.Unlock()
+	c.setOrdered(&kvCopy{host: to, ref: relay.Copy{Address: c.r.upstream.Address, Name: name}, source: c.r.upstream, ordered: true})
 	c.s.log.Write(event.CopyCreated, "request", c.s.req.ID, "upstream", c.r.upstream.ID, "copy_at", to.ID)
 	return nil
 }
 
+// setOrdered records a copy that has been made, which supersedes the last one.
+func (c *copier) setOrdered(k *kvCopy) {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if c.chosen {
+		c.superseded = append(c.superseded, k)
+		return
+	}
+	if c.ordered != nil {
+		c.superseded = append(c.superseded, c.ordered)
+	}
+	c.ordered = k
+	c.orderedAt = c.s.clock.Now()
+}
+
 // copyTarget returns the upstream that has the last ordered copy, so that only the difference is transferred, or chooses
 // another one.
 func (c *copier) copyTarget() (fleet.Upstream, bool) {
@@ -151,6 +189,20 @@
 	return c.s.dialect.CopyName(body)
 }
 
+// freeSuperseded frees the superseded copies, except one that was only refreshed and has kept its name. It must not be called
+// during an order, which may refresh any of them.
+func (c *copier) freeSuperseded(ctx context.Context) {
+	c.s.mu.Lock()
+	superseded, current := c.superseded, c.ordered
+	c.superseded = nil
+	c.s.mu.Unlock()
+	for _, k := range superseded {
+		if current == nil || k.ref != current.ref {
+			c.s.freeCopy(ctx, k)
+		}
+	}
+}
+
 // freeOrdered frees the ordered copy of a run that needs none any more. An order that is under way ends first, since its copy would remain.
 func (c *copier) freeOrdered() {
 	c.s.mu.Lock()
@@ -162,29 +214,32 @@
 	c.s.prober.group.Go(func(ctx context.Context) {
 		select {
 		case <-stopped:
-			c.s.freeCopy(c.latest())
+			c.s.freeCopyAsync(c.choose())
 		case <-ctx.Done():
 		}
 	})
 }
 
+// freeCopyAsync frees a copy in the background if there is one and it was ordered.
+func (s *stream) freeCopyAsync(k *kvCopy) {
+	if k == nil || !k.ordered {
+		return
+	}
+	s.prober.group.Go(func(ctx context.Context) { s.freeCopy(ctx, k) })
+}
+
 // freeCopy frees an ordered copy that is no longer needed, which would take memory and a slot at its host until it expires. The
 // call to the upstream that made the copy frees what both hold; if that fails, the host is called.
-func (s *stream) freeCopy(k *kvCopy) {
-	if k == nil || !k.ordered {
+func (s *stream) freeCopy(ctx context.Context, k *kvCopy) {
+	err := s.callToFree(ctx, k, k.source)
+	if err != nil {
+		err = s.callToFree(ctx, k, k.host)
+	}
+	if err != nil {
+		s.log.Write(event.CopyNotFreed, "request", s.req.ID, "copy_at", k.host.ID, "error", err.Error())
 		return
 	}
-	s.prober.group.Go(func(ctx context.Context) {
-		err := s.callToFree(ctx, k, k.source)
-		if err != nil {
-			err = s.callToFree(ctx, k, k.host)
-		}
-		if err != nil {
-			s.log.Write(event.CopyNotFreed, "request", s.req.ID, "copy_at", k.host.ID, "error", err.Error())
-			return
-		}
-		s.log.Write(event.CopyFreed, "request", s.req.ID, "copy_at", k.host.ID)
-	})
+	s.log.Write(event.CopyFreed, "request", s.req.ID, "copy_at", k.host.ID)
 }
 
 func (s *stream) callToFree(ctx context.Context, k *kvCopy, u fleet.Upstream) error {
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -101,7 +101,7 @@
 	s.countRefusal(err)
 	if s.delivered > deliveredBefore {
 		// An upstream starts copying after it has processed the prompt, so events mean that a copy exists.
-		s.resumeCopy = c.latest()
+		s.resumeCopy = c.choose()
 	}
 	return err
 }
@@ -172,6 +172,8 @@
 			r.upstream = u
 			r.resumeFrom = c.ref
 			placementReq = placement.Request{Context: placementReq.Prompt, Output: placementReq.Output}
+		} else {
+			s.freeCopyAsync(c)
 		}
 		s.resumeCopy = nil
 	}
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -56,7 +56,7 @@
 		failedDomains: map[ids.FailureDomain]bool{}, failedAlive: map[ids.VM]bool{},
 		placementReq: x.placementRequest(),
 	}
-	defer func() { s.freeCopy(s.resumeCopy) }()
+	defer func() { s.freeCopyAsync(s.resumeCopy) }()
 	for {
 		err := s.runOnce()
 		if err == nil {
