A run that ends frees its ordered copy whatever the copy's age

No caller was affected; the copy took memory and a slot at its host. Cause: at its end a run freed only a copy from which the generation could have been resumed. One whose refreshes had failed for longer than copyTTL was forgotten, and so was that of a failed run that the next one did not resume from.

--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -58,6 +58,17 @@
 
 func (c *copier) stop() { c.cancel() }
 
+// end returns the copy from which the next run resumes, if resumes is set and there is one. Otherwise it frees the ordered copy.
+func (c *copier) end(resumes bool) *kvCopy {
+	if resumes {
+		if k := c.choose(); k != nil {
+			return k
+		}
+	}
+	c.freeOrdered()
+	return nil
+}
+
 // choose returns the copy from which the next run resumes, or nil. Copies that are completed later are freed.
 func (c *copier) choose() *kvCopy {
 	c.s.mu.Lock()
@@ -214,7 +225,7 @@
 	c.s.prober.group.Go(func(ctx context.Context) {
 		select {
 		case <-stopped:
-			c.s.freeCopyAsync(c.choose())
+			c.s.freeCopyAsync(locked(&c.s.mu, func() *kvCopy { return c.ordered }))
 		case <-ctx.Done():
 		}
 	})
--- a/router/direct/copier_test.go
+++ b/router/direct/copier_test.go
@@ -138,11 +138,11 @@
 	Expect(c.clock.BlockUntilContext(ctx, 1)).To(Succeed())
 }
 
-// end ends the run, like one whose answer is complete.
-func (c *copiedRun) end() {
+// end ends the run, and returns the copy from which the next run resumes if there is to be one.
+func (c *copiedRun) end(resumes bool) *kvCopy {
 	c.setRun(nil, nil)
 	c.copier.stop()
-	c.copier.freeOrdered()
+	return c.copier.end(resumes)
 }
 
 func (c *copiedRun) expectFreed(name string) {
@@ -167,7 +167,7 @@
 		c.expectKept()
 		second.complete()
 		c.expectFreed(first.to)
-		c.end()
+		c.end(false)
 		c.expectFreed(second.to)
 	})
 	It("is freed at once if its host is lost or suspected", func() {
@@ -204,7 +204,7 @@
 		refresh.complete()
 		c.awaitPause()
 		c.expectKept()
-		Expect(c.copier.choose().ref.Name).To(Equal(first.to))
+		Expect(c.end(true).ref.Name).To(Equal(first.to))
 	})
 	It("is not freed if the next run resumes from it, but one that is completed later is", func() {
 		c := newCopiedRun()
@@ -215,21 +215,34 @@
 		second := c.nextOrder()
 		Expect(second.to).NotTo(Equal(first.to))
 		c.setDraining(first.to, false)
-		c.setRun(nil, nil)
-		c.copier.stop()
-		Expect(c.copier.choose().ref.Name).To(Equal(first.to))
+		Expect(c.end(true).ref.Name).To(Equal(first.to))
 		second.complete()
 		c.expectFreed(second.to)
 		c.expectKept()
 	})
+	DescribeTable("is freed when the run ends, even if it could not be refreshed in time",
+		func(resumes bool) {
+			c := newCopiedRun()
+			first := c.startedOrder()
+			first.complete()
+			for range 2 {
+				refresh := c.nextOrder()
+				refresh.status <- http.StatusServiceUnavailable
+			}
+			c.awaitPause()
+			c.expectKept()
+			Expect(c.end(resumes)).To(BeNil())
+			c.expectFreed(first.to)
+		},
+		Entry("and the answer is complete", false),
+		Entry("and the generation is resumed without it", true),
+	)
 	It("is freed if the next run cannot resume from it because its host is lost or suspected", func() {
 		c := newCopiedRun()
 		first := c.startedOrder()
 		first.complete()
 		c.awaitPause()
-		c.setRun(nil, nil)
-		c.copier.stop()
-		c.resumeCopy = c.copier.choose()
+		c.resumeCopy = c.end(true)
 		c.lose(first.to)
 		c.expectKept()
 		next, err := c.place()
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -89,20 +89,18 @@
 	s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID)
 	if err == nil {
 		conn.Release()
-		c.freeOrdered()
+		c.end(false)
 		return nil
 	}
 	conn.Close()
 	if s.callerLost(err) {
-		c.freeOrdered()
+		c.end(false)
 		return err
 	}
 	s.handleFailedRun(r, err)
 	s.countRefusal(err)
-	if s.delivered > deliveredBefore {
-		// An upstream starts copying after it has processed the prompt, so events mean that a copy exists.
-		s.resumeCopy = c.choose()
-	}
+	// An upstream starts copying after it has processed the prompt, so events mean that a copy exists.
+	s.resumeCopy = c.end(s.delivered > deliveredBefore)
 	return err
 }
 
