--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -94,20 +94,18 @@
 	s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID)
 	if err == nil {
 		conn.Release()
-		c.freeOrdered()
+		c.end(false)
 		return nil
 	}
 	conn.Close()
 	if s.callerLost(err) {
-		c.freeOrdered()
+		c.end(false)
 		return err
 	}
 	s.handleFailedRun(r, err)
 	s.countRefusal(err)
-	if s.delivered > deliveredBefore {
-		// An upstream starts copying after it has processed the prompt, so events mean that a copy exists.
-		s.resumeCopy = c.latest()
-	}
+	// An upstream starts copying after it has processed the prompt, so events mean that a copy exists.
+	s.resumeCopy = c.end(s.delivered > deliveredBefore)
 	return err
 }
 
@@ -180,6 +178,8 @@
 			r.upstream = u
 			r.resumeFrom = c.ref
 			placementReq = placement.Request{Context: placementReq.Prompt, Output: placementReq.Output}
+		} else {
+			s.freeCopyAsync(c)
 		}
 		s.resumeCopy = nil
 	}
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -60,7 +60,7 @@
 		placementReq: x.placementRequest(), parts: quarantine.Parts(x.req.Prompt.Model, x.req.Prompt.Parts),
 	}
 	defer s.endTrial()
-	defer func() { s.freeCopy(s.resumeCopy) }()
+	defer func() { s.freeCopyAsync(s.resumeCopy) }()
 	for {
 		err := s.runOnce()
 		if err == nil {
