--- a/core/httpclose/close_test.go
+++ b/core/httpclose/close_test.go
@@ -1,8 +1,10 @@
 package httpclose_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -59,6 +61,20 @@
 		Expect(closeServer(5 * time.Second)).To(BeZero())
 		Eventually(answer).Should(Receive(Equal("whole")))
 	})
+	It("answers a request whose header is half read", func() {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(50*time.Millisecond, func() { _, _ = io.WriteString(conn, "Host: h\r\n\r\n") })
+		time.Sleep(10 * time.Millisecond) // until it is read
+		Expect(closeServer(5 * time.Second)).To(BeZero())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Close).To(BeTrue())
+		Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo("whole"))
+	})
 	It("is closed soon if there are none, and in time if they take too long", func() {
 		start := time.Now()
 		Expect(closeServer(5 * time.Second)).To(BeZero())
--- a/router/direct/shutdown_test.go
+++ b/router/direct/shutdown_test.go
@@ -1,8 +1,11 @@
 package direct
 
 import (
+	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,7 +17,12 @@
 // stoppingRouter is a router whose graceful shutdown may take a time. Its calls take half a second, and started receives a value
 // for each that has reached the upstream.
 func stoppingRouter(left time.Duration) (r *testRouter, a *App, started chan struct{}) {
-	r = newTestRouter(0)
+	return stoppingRouterOn(left, func(l net.Listener) net.Listener { return l })
+}
+
+// stoppingRouterOn returns such a router on a listener that wrap returns.
+func stoppingRouterOn(left time.Duration, wrap func(l net.Listener) net.Listener) (r *testRouter, a *App, started chan struct{}) {
+	r = newTestRouterOn(0, wrap)
 	started = make(chan struct{}, 8)
 	r.register("desk", newRawUpstream(func(w net.Conn, req *http.Request) {
 		started <- struct{}{}
@@ -28,7 +36,77 @@
 	return r, a, started
 }
 
+// keptConn is a connection of a caller.
+type keptConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+// keep opens a connection to a router.
+func keep(r *testRouter) keptConn {
+	conn, err := net.Dial("tcp", r.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	return keptConn{conn, bufio.NewReader(conn)}
+}
+
+func (c keptConn) write(text string) {
+	_, err := io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// answer reads an answer and checks that it is whole.
+func (c keptConn) answer() *http.Response {
+	resp, err := http.ReadResponse(c.in, nil)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return resp
+}
+
+// expectClosed checks that the router closes the connection.
+func (c keptConn) expectClosed() {
+	_, err := c.in.ReadByte()
+	Expect(err).To(MatchError(io.EOF))
+}
+
+const lookRequest = "GET /look/a HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n"
+
 var _ = Describe("a planned stop", func() {
+	DescribeTable("answers a request that waits in the socket when connections are closed", func(kept bool) {
+		const starvedFor = 400 * time.Millisecond
+		var starved atomic.Bool
+		r, a, _ := stoppingRouterOn(9*time.Second, func(l net.Listener) net.Listener { return starvedListener{l, &starved} })
+		conn := keep(r)
+		if kept {
+			conn.write(lookRequest)
+			Expect(conn.answer().Close).To(BeFalse())
+		}
+		time.Sleep(50 * time.Millisecond) // until the connection is idle
+		starve(&starved, starvedFor)
+		conn.write(lookRequest)
+		r.shutdown.begin()
+		a.closeCallers(r.server.Config)
+		resp := conn.answer()
+		Expect(resp.StatusCode).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+		Expect(resp.Close).To(BeTrue())
+		conn.expectClosed()
+	}, Entry("on a kept connection", true), Entry("on a new connection", false))
+	It("closes idle connections at once", func() {
+		r, a, _ := stoppingRouter(9 * time.Second)
+		conn := keep(r)
+		conn.write(lookRequest)
+		conn.answer()
+		unused := keep(r)
+		time.Sleep(50 * time.Millisecond)
+		r.shutdown.begin()
+		start := time.Now()
+		a.closeCallers(r.server.Config)
+		conn.expectClosed()
+		unused.expectClosed()
+		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
+	})
 	It("answers a request that was accepted just before the listener is closed", func() {
 		r, a, started := stoppingRouter(9 * time.Second)
 		r.shutdown.begin()
--- a/router/direct/testrouter_test.go
+++ b/router/direct/testrouter_test.go
@@ -114,8 +114,8 @@
 	return newTestRouterOn(memoryMegabytes, func(l net.Listener) net.Listener { return l })
 }
 
-// newTestRouterOn starts such a router on a listener that wrap returns.
-func newTestRouterOn(memoryMegabytes int64, wrap func(l net.Listener) net.Listener) *testRouter {
+// newTestRouterOn starts such a router on a listener that wrap returns, with a server that configure changes.
+func newTestRouterOn(memoryMegabytes int64, wrap func(l net.Listener) net.Listener, configure ...func(s *http.Server)) *testRouter {
 	st := newState(Settings{VM: "entry", FailureDomain: "north", Retries: Retries{Slack: 1000, WindowSeconds: 10}, MemoryMegabytes: memoryMegabytes}, Options{
 		Clock: clockwork.NewRealClock(), Log: event.New(io.Discard, slog.LevelError, "entry"), Dial: upstream.Dial,
 	})
@@ -142,6 +142,9 @@
 	server := httptest.NewUnstartedServer(h)
 	server.Listener = h.conns.listener(wrap(server.Listener))
 	server.Config.ConnContext, server.Config.ConnState = h.conns.context, h.conns.stateChanged
+	for _, f := range configure {
+		f(server.Config)
+	}
 	server.Start()
 	DeferCleanup(func() {
 		server.CloseClientConnections()
