The timer of a connection's limit does not read what setLimit writes

Cause: the callback compared the timer with the variable that its own start had yet to assign, outside of the connection's lock. The race detector reported it in the spec "is answered if it arrives before the idle limit and is read after it". Change: the limits are counted, and the callback keeps the number of its own. Evidence: the same spec, three runs with -race, no report.

--- a/router/direct/caller_conns.go
+++ b/router/direct/caller_conns.go
@@ -102,6 +102,8 @@
 	// current is the limit in force, and timer its timer, or nil.
 	current connLimit
 	timer   clockwork.Timer
+	// set counts the limits, so that a timer that has just been replaced is told from the current one.
+	set uint64
 }
 
 // Read implements [net.Conn]. The first bytes after an idle time belong to the next header.
@@ -138,14 +140,14 @@
 	if c.timer != nil {
 		c.timer.Stop()
 	}
+	c.set++
 	c.current, c.timer = l, nil
 	d := c.duration(l)
 	if d <= 0 {
 		return
 	}
-	var t clockwork.Timer
-	t = c.conns.clock.AfterFunc(d, func() { c.expire(t, d) })
-	c.timer = t
+	set := c.set
+	c.timer = c.conns.clock.AfterFunc(d, func() { c.expire(set, d) })
 }
 
 // duration returns the time that the configuration allows, or zero if there is no limit.
@@ -162,10 +164,10 @@
 
 // expire closes the connection, unless the limit was replaced meanwhile, or a request has arrived that the server has not read yet: a
 // process that is short of CPU may run the timer first.
-func (c *callerConn) expire(t clockwork.Timer, after time.Duration) {
+func (c *callerConn) expire(set uint64, after time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.timer != t {
+	if c.set != set {
 		return
 	}
 	if c.current == limitIdle && c.readable() {
