--- a/core/httpclose/close.go
+++ b/core/httpclose/close.go
@@ -2,17 +2,15 @@
 //
 // # Usage
 //
-//	cut := httpclose.Close(server, httpclose.Options{Clock: clock, Group: g, Active: active, Left: left})
+//	cut := httpclose.Close(server, httpclose.Options{Clock: clock, Listener: l, Active: active, Left: left})
 package httpclose
 
 import (
-	"context"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-
-	"bilberrylug.dev/core/group"
 )
 
 const (
@@ -26,8 +24,9 @@
 // Options configure [Close].
 type Options struct {
 	Clock clockwork.Clock
-	Group *group.Group
-	// Active returns the number of requests that are being served.
+	// Listener is the one on which the server accepts connections.
+	Listener net.Listener
+	// Active returns the number of requests that are being read or served.
 	Active func() int64
 	// Left returns the time for which active requests may still be waited for.
 	Left func() time.Duration
@@ -36,10 +35,10 @@
 // Close accepts no further connections, closes the open ones as they become idle, waits for the active requests and closes the
 // server. It returns the number of requests that were cut because no time was left.
 func Close(s *http.Server, o Options) (cut int64) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	defer func() { _ = s.Close() }()
-	o.Group.Go(func(context.Context) { _ = s.Shutdown(ctx) })
+	_ = o.Listener.Close()
+	// Shutdown would drop the requests whose header the server reads from now on. This closes the idle connections, too.
+	s.SetKeepAlivesEnabled(false)
 	idleSince := o.Clock.Now()
 	for o.Clock.Since(idleSince) < quietTime {
 		o.Clock.Sleep(pollInterval)
--- a/core/httpclose/close_test.go
+++ b/core/httpclose/close_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,7 +13,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/httpclose"
 )
 
@@ -22,11 +20,8 @@
 	var (
 		active atomic.Int64
 		server *httptest.Server
-		g      *group.Group
 	)
 	BeforeEach(func() {
-		g = group.New(context.Background())
-		DeferCleanup(g.Stop)
 		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			active.Add(1)
 			defer active.Add(-1)
@@ -38,7 +33,7 @@
 	closeServer := func(left time.Duration) int64 {
 		end := time.Now().Add(left)
 		return httpclose.Close(server.Config, httpclose.Options{
-			Clock: clockwork.NewRealClock(), Group: g, Active: active.Load, Left: func() time.Duration { return time.Until(end) },
+			Clock: clockwork.NewRealClock(), Listener: server.Listener, Active: active.Load, Left: func() time.Duration { return time.Until(end) },
 		})
 	}
 	get := func() <-chan string {
--- a/router/app/app.go
+++ b/router/app/app.go
@@ -201,6 +201,10 @@
 	if err != nil {
 		return fault.Wrap(fault.SettingsInvalid, err, "listen %s", a.cfg.Listen)
 	}
+	callersListener, err := lc.Listen(ctx, "tcp", a.cfg.Callers)
+	if err != nil {
+		return fault.Wrap(fault.SettingsInvalid, err, "listen for callers on %s", a.cfg.Callers)
+	}
 	failed := make(chan error, 3)
 	a.group.Go(func(ctx context.Context) {
 		if err := rpc.Serve(ctx, listener, a.cfg.TLS, a.log.Panic, a.server.Register); err != nil {
@@ -214,12 +218,12 @@
 	}
 	callers := &http.Server{Addr: a.cfg.Callers, Handler: a.caller.Handler(), ReadHeaderTimeout: time.Minute}
 	operators := &http.Server{Addr: a.cfg.Operators, Handler: a.operatorHandler(), ReadHeaderTimeout: time.Minute}
-	a.group.Go(func(context.Context) { a.serveCallers(callers, failed) })
+	a.group.Go(func(context.Context) { a.serveCallers(callers, callersListener, failed) })
 	a.group.Go(func(context.Context) { serveHTTP(operators, failed) })
 	a.log.Write(event.Started, "listen", a.cfg.Listen, "callers", a.cfg.Callers)
 	select {
 	case <-ctx.Done():
-		a.shutdown(callers)
+		a.shutdown(callers, callersListener)
 	case err = <-failed:
 	}
 	_ = callers.Close()
@@ -230,15 +234,15 @@
 	return err
 }
 
-func (a *App) serveCallers(s *http.Server, failed chan<- error) {
+func (a *App) serveCallers(s *http.Server, l net.Listener, failed chan<- error) {
+	serve := s.Serve
 	if t := a.cfg.CallersTLS; t.CertFile != "" {
 		s.TLSConfig = rpc.CallerConfig(t.CertFile, t.KeyFile)
-		if err := s.ListenAndServeTLS("", ""); !errors.Is(err, http.ErrServerClosed) {
-			failed <- fault.Wrap(fault.SettingsInvalid, err, "listen for callers on %s", s.Addr)
-		}
-		return
+		serve = func(l net.Listener) error { return s.ServeTLS(l, "", "") }
+	}
+	if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
+		failed <- fault.Wrap(fault.SettingsInvalid, err, "serve callers on %s", s.Addr)
 	}
-	serveHTTP(s, failed)
 }
 
 func serveHTTP(s *http.Server, failed chan<- error) {
@@ -249,7 +253,7 @@
 
 // shutdown is the graceful shutdown: it makes the router unready, so that the load balancer stops sending requests, and
 // waits for the running requests to finish.
-func (a *App) shutdown(callers *http.Server) {
+func (a *App) shutdown(callers *http.Server, l net.Listener) {
 	a.log.Write(event.Stopping)
 	a.caller.Stop()
 	a.view.Update(func(t *membership.Table) {
@@ -264,7 +268,7 @@
 		a.clock.Sleep(shutdownPollInterval)
 	}
 	cut := httpclose.Close(callers, httpclose.Options{
-		Clock: a.clock, Group: a.group, Active: func() int64 { return int64(a.caller.Active()) }, Left: func() time.Duration { return shutdownTimeout - a.clock.Since(start) },
+		Clock: a.clock, Listener: l, Active: func() int64 { return int64(a.caller.Active()) }, Left: func() time.Duration { return shutdownTimeout - a.clock.Since(start) },
 	})
 	if cut > 0 {
 		a.log.Write(event.Stopping, "cut", cut)
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -138,6 +138,7 @@
 	}
 	metrics := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 4)
+	var callersListener net.Listener
 	for address, server := range map[string]*http.Server{
 		a.cfg.Callers: callers, a.cfg.Readiness: readiness, a.cfg.metricsAddress(): metrics,
 	} {
@@ -147,6 +148,7 @@
 		}
 		if server == callers {
 			l = a.handler.conns.listener(l)
+			callersListener = l
 		}
 		a.group.Go(func(context.Context) { serve(server, l, failed) })
 	}
@@ -172,7 +174,7 @@
 		a.gracefulShutdown()
 	case err = <-failed:
 	}
-	a.closeCallers(callers)
+	a.closeCallers(callers, callersListener)
 	a.opts.Log.Write(event.Stopped, "active", a.shutdown.active.Load())
 	for _, s := range []*http.Server{readiness, metrics} {
 		_ = s.Close()
@@ -239,14 +241,15 @@
 
 // closeCallers accepts no further connections, closes the open ones as they become idle, and waits for the requests that were
 // accepted at the last moment, for as long as the graceful shutdown may take.
-func (a *App) closeCallers(callers *http.Server) {
+func (a *App) closeCallers(callers *http.Server, l net.Listener) {
 	a.shutdown.close()
 	cut := httpclose.Close(callers, httpclose.Options{
-		Clock: a.opts.Clock, Group: a.group, Active: a.shutdown.active.Load, Left: func() time.Duration {
+		Clock: a.opts.Clock, Listener: l, Active: a.handler.conns.busy, Left: func() time.Duration {
 			s, _ := a.shutdown.status()
 			return s.Remaining
 		},
 	})
+	a.handler.conns.closeAll()
 	if cut > 0 {
 		a.opts.Log.Write(event.Stopping, "cut", cut)
 	}
--- a/router/direct/shutdown_test.go
+++ b/router/direct/shutdown_test.go
@@ -10,8 +10,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"bilberrylug.dev/core/group"
 )
 
 // stoppingRouter is a router whose graceful shutdown may take a time. Its calls take half a second, and started receives a value
@@ -30,9 +28,7 @@
 		ok(w, req)
 	}))
 	r.shutdown.limit.Store(int64(left + shutdownMargin))
-	g := group.New(GinkgoTB().Context())
-	DeferCleanup(g.Stop)
-	a = &App{opts: Options{Clock: r.clock, Log: r.log}, shutdown: r.shutdown, group: g}
+	a = &App{opts: Options{Clock: r.clock, Log: r.log}, handler: r.handler, shutdown: r.shutdown}
 	return r, a, started
 }
 
@@ -87,7 +83,7 @@
 		starve(&starved, starvedFor)
 		conn.write(lookRequest)
 		r.shutdown.begin()
-		a.closeCallers(r.server.Config)
+		a.closeCallers(r.server.Config, r.server.Listener)
 		resp := conn.answer()
 		Expect(resp.StatusCode).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
 		Expect(resp.Close).To(BeTrue())
@@ -102,7 +98,7 @@
 		time.Sleep(50 * time.Millisecond)
 		r.shutdown.begin()
 		start := time.Now()
-		a.closeCallers(r.server.Config)
+		a.closeCallers(r.server.Config, r.server.Listener)
 		conn.expectClosed()
 		unused.expectClosed()
 		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
@@ -114,7 +110,7 @@
 		go func() { done <- r.send(http.MethodPost, "/slip/a") }()
 		Eventually(started).Should(Receive())
 		start := time.Now()
-		a.closeCallers(r.server.Config)
+		a.closeCallers(r.server.Config, r.server.Listener)
 		var got reply
 		Eventually(done).Should(Receive(&got))
 		Expect(got.status).To(Equal(http.StatusOK))
@@ -134,7 +130,7 @@
 		Eventually(started).Should(Receive())
 		r.shutdown.begin()
 		start := time.Now()
-		a.closeCallers(r.server.Config)
+		a.closeCallers(r.server.Config, r.server.Listener)
 		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
 	})
 })
