--- a/core/httpclose/close_test.go
+++ b/core/httpclose/close_test.go
@@ -1,8 +1,9 @@
 package httpclose_test
 
 import (
-	"context"
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -12,7 +13,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/httpclose"
 )
 
@@ -20,11 +20,8 @@
 	var (
 		active atomic.Int64
 		server *httptest.Server
-		g      *group.Group
 	)
 	BeforeEach(func() {
-		g = group.New(context.Background())
-		DeferCleanup(g.Stop)
 		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			active.Add(1)
 			defer active.Add(-1)
@@ -36,7 +33,7 @@
 	closeServer := func(left time.Duration) int64 {
 		end := time.Now().Add(left)
 		return httpclose.Close(server.Config, httpclose.Options{
-			Clock: clockwork.NewRealClock(), Group: g, Active: active.Load, Left: func() time.Duration { return time.Until(end) },
+			Clock: clockwork.NewRealClock(), Listener: server.Listener, Active: active.Load, Left: func() time.Duration { return time.Until(end) },
 		})
 	}
 	get := func() <-chan string {
@@ -59,6 +56,20 @@
 		Expect(closeServer(5 * time.Second)).To(BeZero())
 		Eventually(answer).Should(Receive(Equal("whole")))
 	})
+	It("answers a request whose header is half read", func() {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		time.AfterFunc(50*time.Millisecond, func() { _, _ = io.WriteString(conn, "Host: h\r\n\r\n") })
+		time.Sleep(10 * time.Millisecond) // until it is read
+		Expect(closeServer(5 * time.Second)).To(BeZero())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Close).To(BeTrue())
+		Expect(io.ReadAll(resp.Body)).To(BeEquivalentTo("whole"))
+	})
 	It("is closed soon if there are none, and in time if they take too long", func() {
 		start := time.Now()
 		Expect(closeServer(5 * time.Second)).To(BeZero())
