An answer that waits to be resumed makes no attempt after its time

What callers saw: a stream at a sound engine was cut or moved because another request, whose begun answer waited to be resumed, reached its deadline. A request was sent to an engine after its deadline, and a caller that had left was charged one more retry. Cause: awaitResume looked at the clock and the caller before its pause only. The pause ends with the request, and the loop then charged a retry and allowed an attempt, whose dial failed at once in the ended context and declared the upstream lost. Change: the loop holds only while there is time and a caller, which it now checks before every charge.

--- a/router/direct/resume.go
+++ b/router/direct/resume.go
@@ -36,14 +36,14 @@
 		return fault.Wrap(fault.ResumeExhausted, err, "after %d attempts", s.attempts)
 	}
 	wait := errors.Is(err, errNoUpstream) || s.refusals >= maxRefusals
-	for wait || !s.chargeRetry() {
-		if s.remaining() < minAnswerTime || s.ctx.Err() != nil {
-			return s.deadlineError()
+	for s.remaining() >= minAnswerTime && s.ctx.Err() == nil {
+		if !wait && s.chargeRetry() {
+			return nil
 		}
 		s.pauseBeforeResume(err)
 		wait = false
 	}
-	return nil
+	return s.deadlineError()
 }
 
 // pauseBeforeResume waits until the next attempt to resume, or until the request's context ends.
