A dial that ends with its request declares no upstream lost

What callers saw: streams at a sound engine were cut or moved because another request ran out of time while its connection was opened. Cause: connect declared the upstream lost after every failed dial unless the caller had disconnected, also when the dial was ended by the deadline of the request or by the share of it that an idempotent attempt may use. Change: the upstream is lost only if the dial failed before the context of the attempt ended. The deadline is compared as well, since a dial may fail at the deadline a moment before the context ends.

--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -167,19 +167,25 @@
 	return a, err
 }
 
-// connect returns a pooled or new connection. On an error nothing was sent.
+// connect returns a pooled or new connection. On an error nothing was sent. An upstream is lost if it accepts no connection within
+// dialTimeout, but not if ctx, which holds the caller's patience and the attempt's share of time, ends before.
 func (x *exchange) connect(ctx context.Context, u fleet.Upstream) (connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := x.pool.Get(ctx, u.Address, string(x.req.ID))
-	if err != nil {
-		if x.callerGone() {
-			return nil, errNotSent
-		}
+	conn, err := x.pool.Get(dialCtx, u.Address, string(x.req.ID))
+	if err == nil {
+		return conn, nil
+	}
+	if !x.ended(ctx) {
 		x.markLost(u, "connect: "+err.Error())
-		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
-	return conn, nil
+	return nil, fmt.Errorf("%w: %w", errNotSent, err)
+}
+
+// ended reports whether a context has ended. A dial may fail at the context's deadline a moment before the context ends.
+func (x *exchange) ended(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !x.clock.Now().Before(deadline)
 }
 
 // roundTrip sends the request on a connection and reads the answer. It updates what is known of the upstream's load and ID.
