A request given up because its caller left has no complete answer

What callers saw: a caller that had closed only its sending side read an empty, unsigned 200 for a call that no upstream had answered, or a cut stream that ended like a complete one. Cause: the handler returned after "caller disconnected", and net/http completed the answer: a 200 without a body, or the last chunk. Change: the handler aborts the answer instead, as it does for an answer that has begun and cannot be resumed. net/http then closes the connection without completing it. The deferred releases run as before, and recoverPanic passes the abort on. Evidence: the two specs on "a caller that has closed its sending side" failed before and pass now.

--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -60,7 +60,8 @@
 		}
 		if x.callerGone() {
 			x.logEnd(0, "outcome", "caller disconnected")
-			return
+			// A return would complete an empty answer, which a caller that has closed only its sending side takes for a success.
+			panic(http.ErrAbortHandler)
 		}
 		x.countRefusal(err)
 		if final := x.checkRetry(err, fault.QueueFull); final != nil {
