A retry that waits for a connection is charged anew after a bucket of the budget

What callers could see (a spec shows it): more retries than the budget allows reached the engines after a moment in which no connection could be opened, at the cost of the other requests of the service. Cause: an attempt that finds no connection leaves its charge to the next one, without a limit of age. The charge could leave the window of the budget before its retry was sent. Change: a charge older than a bucket of the budget, a tenth of its window, is used no more; the attempt needs a new one. With the 10 s window that is 1 s. It is not a fixed second: with one, "attempts that find no connection are not charged to the retry budget", which has a window of 20 s, fails. The old charge is not refunded, so a long wait is charged several times, on the side of fewer retries. Evidence: "a retry that had to wait for a connection" failed before and passes now.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -75,6 +75,9 @@
 // SetLimits replaces the limits and keeps the counts.
 func (b *Budget) SetLimits(l Limits) { b.limits = l }
 
+// Bucket returns the resolution in time at which requests and retries are counted.
+func (b *Budget) Bucket() time.Duration { return b.limits.Window / windowBuckets }
+
 // SetPeerCounts records the counts that another router reported for a service.
 func (b *Budget) SetPeerCounts(router ids.VM, s ids.Service, c Counts, now time.Time) {
 	b.peers[peerKey{router, s}] = peerCounts{Counts: c, at: now}
@@ -149,7 +152,7 @@
 		w = &window{}
 		b.windows[s] = w
 	}
-	head := int64(now.Sub(b.start) / (b.limits.Window / windowBuckets))
+	head := int64(now.Sub(b.start) / b.Bucket())
 	for steps := 0; w.head < head && steps <= windowBuckets; steps++ {
 		w.head++
 		w.requests[w.head%(windowBuckets+1)] = 0
--- a/router/direct/call_retry.go
+++ b/router/direct/call_retry.go
@@ -40,16 +40,30 @@
 }
 
 // chargeRetry charges the next attempt to the retry budget, unless it is the first, and reports whether it is allowed. An attempt
-// that finds no connection leaves the charge to the next one.
+// that finds no connection leaves its charge to the next one until it is older than a bucket of the budget.
 func (x *exchange) chargeRetry() bool {
-	x.retryGranted = x.retryGranted || x.attempts == 0 || x.allowRetry(x.service.Name)
-	return x.retryGranted
+	now := x.clock.Now()
+	if x.attempts == 0 || !x.chargedAt.IsZero() && now.Sub(x.chargedAt) <= x.chargeLifetime() {
+		return true
+	}
+	x.chargedAt = time.Time{}
+	if x.allowRetry(x.service.Name) {
+		x.chargedAt = now
+	}
+	return !x.chargedAt.IsZero()
+}
+
+// chargeLifetime is the age up to which a charge counts in the budget about as long as the retry itself would.
+func (x *exchange) chargeLifetime() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.budget.Bucket()
 }
 
 // countAttempt counts an attempt for which there is a connection.
 func (x *exchange) countAttempt() {
 	x.attempts++
-	x.retryGranted = false
+	x.chargedAt = time.Time{}
 }
 
 // deadlineError returns the fault for a request whose deadline has passed.
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -45,8 +45,8 @@
 	refusals int
 	// reserved is the memory for answers that the exchange has reserved, in bytes.
 	reserved int64
-	// retryGranted is set if the next attempt has already been charged to the retry budget.
-	retryGranted bool
+	// chargedAt is when the next attempt was charged to the retry budget, or zero if it was not.
+	chargedAt time.Time
 	// headerSent is set once a response header has been sent to the caller.
 	headerSent bool
 }
--- a/router/direct/slow.go
+++ b/router/direct/slow.go
@@ -91,9 +91,11 @@
 	if s.promptMoves >= maxPromptMoves || !s.route.Retryable() || s.runs() >= s.route.MaxAttempts {
 		return false
 	}
-	s.retryGranted = s.budget.AllowRetry(s.service.Name, now, s.picker.Routers)
-	if s.retryGranted {
-		s.promptMoves++
+	if !s.budget.AllowRetry(s.service.Name, now, s.picker.Routers) {
+		s.chargedAt = time.Time{}
+		return false
 	}
-	return s.retryGranted
+	s.chargedAt = now
+	s.promptMoves++
+	return true
 }
