--- a/router/direct/call_retry.go
+++ b/router/direct/call_retry.go
@@ -55,8 +55,8 @@
 
 // chargeLifetime is the age up to which a charge counts in the budget about as long as the retry itself would.
 func (x *exchange) chargeLifetime() time.Duration {
-	x.state.mu.Lock()
-	defer x.state.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	return x.budget.Bucket()
 }
 
