--- a/core/httpclose/close.go
+++ b/core/httpclose/close.go
@@ -30,6 +30,8 @@
 	Active func() int64
 	// Left returns the time for which active requests may still be waited for.
 	Left func() time.Duration
+	// OnCut is called before active requests are cut; it may be nil.
+	OnCut func()
 }
 
 // Close accepts no further connections, closes the open ones as they become idle, waits for the active requests and closes the
@@ -47,6 +49,9 @@
 			continue
 		}
 		if o.Left() <= 0 {
+			if o.OnCut != nil {
+				o.OnCut()
+			}
 			return active
 		}
 		idleSince = o.Clock.Now()
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -244,7 +244,8 @@
 func (a *App) closeCallers(callers *http.Server, l net.Listener) {
 	a.shutdown.close()
 	cut := httpclose.Close(callers, httpclose.Options{
-		Clock: a.opts.Clock, Listener: l, Active: a.handler.conns.busy, Left: func() time.Duration {
+		Clock: a.opts.Clock, Listener: l, Active: a.handler.conns.busy, OnCut: func() { a.shutdown.cutting.Store(true) },
+		Left: func() time.Duration {
 			s, _ := a.shutdown.status()
 			return s.Remaining
 		},
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -59,7 +59,7 @@
 			failed = a
 		}
 		if x.callerGone() {
-			x.logEnd(0, "outcome", "caller disconnected")
+			x.logEnd(0, "outcome", x.cutOutcome())
 			// A return would complete an empty answer, which a caller that has closed only its sending side takes for a success.
 			panic(http.ErrAbortHandler)
 		}
--- a/router/direct/exchange_log.go
+++ b/router/direct/exchange_log.go
@@ -23,6 +23,14 @@
 	}, args...)...)
 }
 
+// cutOutcome names the side that has closed the caller's connection.
+func (x *exchange) cutOutcome() string {
+	if x.shutdown.cutting.Load() {
+		return "router stopped"
+	}
+	return "caller disconnected"
+}
+
 func (x *exchange) logEnd(status int, args ...any) {
 	elapsed := x.clock.Since(x.arrivedAt)
 	x.log.Write(event.RequestEnded, append([]any{
--- a/router/direct/shutdown_tracker.go
+++ b/router/direct/shutdown_tracker.go
@@ -15,6 +15,8 @@
 	beganAt atomic.Pointer[time.Time]
 	// closing is set once no further requests are accepted.
 	closing atomic.Bool
+	// cutting is set once the requests that are left are ended because the time for the shutdown is over.
+	cutting atomic.Bool
 	active  atomic.Int64
 	// limit bounds a graceful shutdown, in nanoseconds.
 	limit atomic.Int64
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -72,7 +72,7 @@
 		}
 		switch {
 		case s.callerLost(err):
-			x.logEnd(0, "outcome", "caller disconnected", "events", s.delivered)
+			x.logEnd(0, "outcome", x.cutOutcome(), "events", s.delivered)
 			// The caller may have closed only its sending side and must not take the answer for a complete one.
 			panic(http.ErrAbortHandler)
 		case final != nil:
