A copy from which an answer can be resumed is kept until the next run has a connection

One failed dial of the copy's host made the stream forget the copy, and the whole prompt was processed anew. The copy is given back if nothing was sent, and freed only when a run elsewhere has its connection. The check of the copy's freeing moves with it: it now also says that the copy is kept until then.

--- a/router/direct/copier_test.go
+++ b/router/direct/copier_test.go
@@ -247,7 +247,9 @@
 		c.expectKept()
 		next, err := c.place()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(next.resumeFrom.IsZero()).To(BeTrue())
+		Expect(next.resumeFrom).To(BeNil())
+		c.expectKept()
+		c.dropResumeCopy() // the run has a connection
 		c.expectFreed(first.to)
 	})
 })
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -23,9 +23,12 @@
 	mayHaveRunBefore := s.mayHaveRun
 	s.mayHaveRun = true
 	a := relay.Attempt{
-		Upstream: r.upstream.ID, Workspace: s.workspace, Priority: s.priority, TimeLeft: s.remaining(), ContinueFrom: r.resumeFrom,
+		Upstream: r.upstream.ID, Workspace: s.workspace, Priority: s.priority, TimeLeft: s.remaining(),
 		LastEventID: s.lastEventID, Resumes: s.resumes,
 	}
+	if r.resumeFrom != nil {
+		a.ContinueFrom = r.resumeFrom.ref
+	}
 	if r.backup != nil {
 		a.BackupTo = r.backup.Address
 	}
@@ -203,7 +206,7 @@
 	s.fleet.RecordAnswer(r.upstream.ID, now)
 	r.reservation.PrefillDone()
 	s.broadcastSoon()
-	if r.resumeFrom.IsZero() {
+	if r.resumeFrom == nil {
 		s.picker.RecordFirstEvent(r.upstream.ID, elapsed, r.predicted, now)
 	}
 	if s.delivered == 0 {
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -25,8 +25,8 @@
 // run is one attempt at the generation on one upstream.
 type run struct {
 	upstream fleet.Upstream
-	// resumeFrom is the copy of the KV cache from which the run resumes, or zero if there is none.
-	resumeFrom relay.Copy
+	// resumeFrom is the copy of the KV cache from which the run resumes, or nil.
+	resumeFrom *kvCopy
 	// backup is the upstream that receives a copy of the KV cache during the run, or nil.
 	backup      *fleet.Upstream
 	reservation *placement.Reservation
@@ -79,12 +79,16 @@
 		s.refusals++
 		s.tried[r.upstream.ID] = true
 		s.avoidDomain(r.upstream.Domain)
+		if r.resumeFrom != nil {
+			s.resumeCopy = r.resumeFrom
+		}
 		return err
 	}
+	s.dropResumeCopy()
 	s.countAttempt()
 	r.stall.resumeReading(s.clock.Now())
 	s.logAttempt(r.upstream.ID, "domain", r.upstream.Domain, "predicted", r.predicted.String(),
-		"continues_copy", !r.resumeFrom.IsZero(), "copy_at", r.backupID(), "last_event", s.lastEventID, "reused", conn.Reused())
+		"continues_copy", r.resumeFrom != nil, "copy_at", r.backupID(), "last_event", s.lastEventID, "reused", conn.Reused())
 	c := newCopier(s, r)
 	s.setRun(conn, c)
 	deliveredBefore := s.delivered
@@ -173,17 +177,11 @@
 	placementReq.CachedAt = s.promptEngine(s.req.Prompt.Name)
 	list := s.runCandidates(s.tried, placementReq.CachedAt, now)
 	r := &run{placedAt: now}
-	if c := s.resumeCopy; c != nil {
-		if u, known := s.fleet.Get(c.host.ID); known && u.Started == c.host.Started && u.Available() {
-			r.upstream = u
-			r.resumeFrom = c.ref
-			placementReq = placement.Request{Context: placementReq.Prompt, Output: placementReq.Output}
-		} else {
-			s.freeCopyAsync(c)
-		}
-		s.resumeCopy = nil
-	}
-	if r.resumeFrom.IsZero() {
+	if u, ok := s.resumeHost(list); ok {
+		r.upstream = u
+		r.resumeFrom, s.resumeCopy = s.resumeCopy, nil
+		placementReq = placement.Request{Context: placementReq.Prompt, Output: placementReq.Output}
+	} else {
 		c, predicted, ok := s.picker.Pick(list.candidates, placementReq, s.model, now)
 		if !ok {
 			return nil, errNoUpstream
@@ -205,6 +203,24 @@
 	return r, nil
 }
 
+// resumeHost returns the upstream that holds the copy from which the next run resumes, if it may receive the run. The caller must hold
+// s.state.mu.
+func (s *stream) resumeHost(list candidateList) (fleet.Upstream, bool) {
+	c := s.resumeCopy
+	if c == nil {
+		return fleet.Upstream{}, false
+	}
+	u, known := s.fleet.Get(c.host.ID)
+	usable := known && u.Started == c.host.Started && (u.Available() || list.get(u.ID).ID != "")
+	return u, usable
+}
+
+// dropResumeCopy frees the copy that was not used for a run that is about to be sent elsewhere.
+func (s *stream) dropResumeCopy() {
+	s.freeCopyAsync(s.resumeCopy)
+	s.resumeCopy = nil
+}
+
 // avoidDomain makes further runs and copies prefer other failure domains.
 func (s *stream) avoidDomain(d ids.FailureDomain) {
 	s.mu.Lock()
--- a/router/direct/slow.go
+++ b/router/direct/slow.go
@@ -25,7 +25,7 @@
 // checkFirstEvent returns errUpstreamSlow if a run without a first event should be moved to another engine, and nil
 // otherwise.
 func (s *stream) checkFirstEvent(r *run) error {
-	if s.delivered > 0 || !r.resumeFrom.IsZero() {
+	if s.delivered > 0 || r.resumeFrom != nil {
 		return nil
 	}
 	s.state.mu.Lock()
