A failed dial of another request does not end a stream whose events arrive

A lost upstream ended each of its streams at the next read that had to wait, also when the dial had failed at the router's own VM and events came as usual: the prompt was read twice. The loss now ends a run only when it has been idle for as long as it takes to probe it.

--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -93,7 +93,10 @@
 		domainSuspected = s.fleet.DomainSuspected(r.upstream.Domain, now)
 		return s.fleet.IsLost(r.upstream.ID, r.upstream.Started)
 	})
-	if lost && silent > 0 && s.mayReplaceRun() {
+	timeout := r.stall.timeout(domainSuspected)
+	idle := r.stall.idle(now)
+	// The dial that found the upstream lost may have failed at the router's own VM while events arrive.
+	if lost && idle >= timeout && s.mayReplaceRun() {
 		return 0, errUnreachable
 	}
 	if !s.route.Retryable() {
@@ -107,8 +110,6 @@
 			return 0, err
 		}
 	}
-	timeout := r.stall.timeout(domainSuspected)
-	idle := r.stall.idle(now)
 	if idle < timeout {
 		return timeout - idle, nil
 	}
