A stalled read looks for data although its stall function takes longer than the next wait

The deadline of a read was counted from before the stall function was called. A stream whose upstream leaves probes unanswered spends 80 to 350 ms in it and waits 60 ms more: the deadline was always over, and a read whose deadline is over returns without a look at the socket. Such a stream never received what its upstream had sent. The new spec fails without the change (deadline exceeded after 2 s).

--- a/router/upstream/conn_test.go
+++ b/router/upstream/conn_test.go
@@ -174,6 +174,24 @@
 		Expect(conn.Reused()).To(BeTrue())
 		conn.Close()
 	})
+	// Guards against data that is never read because the stall function, which may wait for a probe, takes longer than its next wait.
+	It("reads what has arrived although the stall function takes longer than the time until its next call", func() {
+		address := peer(func(w io.Writer, r *http.Request) {
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		conn, err := newPool().Get(ctx, address, "1")
+		Expect(err).NotTo(HaveOccurred())
+		conn.SetStallFunc(func(time.Duration) (time.Duration, error) {
+			time.Sleep(30 * time.Millisecond)
+			return 10 * time.Millisecond, nil
+		})
+		resp, err := conn.Do(ctx, request("1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+	})
 	It("makes a stall check that is requested while a read sets its deadline", func() {
 		address := peer(func(io.Writer, *http.Request) {})
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/router/upstream/stall_func.go
+++ b/router/upstream/stall_func.go
@@ -52,14 +52,14 @@
 	}
 	start := c.pool.clock.Now()
 	for {
-		now := c.pool.clock.Now()
 		c.stallCheckDue.Store(false)
-		wait, err := c.onStall(now.Sub(start))
+		wait, err := c.onStall(c.pool.clock.Since(start))
 		if err != nil {
 			c.stallErr = err
 			return 0, err
 		}
-		if err := c.SetReadDeadline(now.Add(wait)); err != nil {
+		// A read whose deadline is over does not look for data, and the stall function may have taken longer than the wait.
+		if err := c.SetReadDeadline(c.pool.clock.Now().Add(wait)); err != nil {
 			return 0, err
 		}
 		if c.stallCheckDue.Load() {
