A run is ended on suspicion only if an upstream that could take over answers a probe

While the router could open no connection for a moment, probes were unanswered, the run was ended, and six dials later the request was refused with 502, although its upstream was about to begin the answer. Before a run is ended because it is silent, hung, overdue or lost, an upstream to which it could move is probed, two at most; its connection is pooled for the next run. If none answers, the run goes on.

--- a/router/direct/slow.go
+++ b/router/direct/slow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/placement"
 )
 
@@ -28,6 +29,23 @@
 	if s.delivered > 0 || r.resumeFrom != nil {
 		return nil
 	}
+	alt, overdue, ok := s.fasterUpstream(r)
+	if !ok || !s.prober.alive(alt) {
+		return nil
+	}
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	now := s.clock.Now()
+	if !s.mayMove(now) {
+		return nil
+	}
+	s.recordSlow(r, "first event overdue", overdue, now)
+	return errUpstreamSlow
+}
+
+// fasterUpstream returns the engine on which the first event of a run is expected much sooner, if there is one, and how many times the
+// predicted time has passed.
+func (s *stream) fasterUpstream(r *run) (alt fleet.Upstream, overdue float64, ok bool) {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
 	now := s.clock.Now()
@@ -37,21 +55,17 @@
 		Slowness:  s.picker.Slowness(r.upstream.ID, now) / r.slowness,
 		TimeLeft:  s.arrivedAt.Add(s.route.TargetLatency).Sub(now),
 	}
-	if !p.IsSuspected() {
-		return nil
+	if !p.IsSuspected() || s.promptMoves >= maxPromptMoves {
+		return fleet.Upstream{}, 0, false
 	}
 	tried := maps.Clone(s.tried)
 	tried[r.upstream.ID] = true
 	list := s.runCandidates(tried, "", now)
-	alt, altPredicted, ok := s.picker.Pick(list.candidates, s.placementReq, s.model, now)
-	if !ok || alt.Suspect || tried[alt.ID] {
-		return nil
+	c, predicted, ok := s.picker.Pick(list.candidates, s.placementReq, s.model, now)
+	if !ok || c.Suspect || tried[c.ID] || !p.ShouldMove(predicted) {
+		return fleet.Upstream{}, 0, false
 	}
-	if !p.ShouldMove(altPredicted) || !s.mayMove(now) {
-		return nil
-	}
-	s.recordSlow(r, "first event overdue", float64(p.Elapsed)/float64(p.Predicted), now)
-	return errUpstreamSlow
+	return list.get(c.ID), float64(p.Elapsed) / float64(p.Predicted), true
 }
 
 // checkPace checks the output rate of a run and records a slow engine. Measurements taken while the engine also processes
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -2,7 +2,11 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
+
+	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/ids"
 )
 
 const (
@@ -96,7 +100,7 @@
 	timeout := r.stall.timeout(domainSuspected)
 	idle := r.stall.idle(now)
 	// The dial that found the upstream lost may have failed at the router's own VM while events arrive.
-	if lost && idle >= timeout && s.mayReplaceRun() {
+	if lost && idle >= timeout && s.mayReplaceRun(r) {
 		return 0, errUnreachable
 	}
 	if !s.route.Retryable() {
@@ -123,13 +127,13 @@
 		if r.stall.events == 0 && !domainSuspected && r.stall.unansweredProbes <= 1 {
 			return confirmInterval, nil
 		}
-		if s.mayReplaceRun() {
+		if s.mayReplaceRun(r) {
 			return 0, errUnreachable
 		}
 		return reprobeInterval, nil
 	}
 	r.stall.unansweredProbes = 0
-	if after, hangs := s.hungAfter(r); hangs && idle >= after && s.mayReplaceRun() {
+	if after, hangs := s.hungAfter(r); hangs && idle >= after && s.mayReplaceRun(r) {
 		return 0, errHung
 	}
 	return reprobeInterval, nil
@@ -146,9 +150,40 @@
 
 // mayReplaceRun reports whether another run may take over from the current one, and charges that run to the retry budget. A run that
 // cannot be replaced is not ended on suspicion: its upstream may still complete the answer.
-func (s *stream) mayReplaceRun() bool {
+func (s *stream) mayReplaceRun(r *run) bool {
 	if !s.route.Retryable() || s.runs() >= s.route.MaxAttempts || !s.headerSent && s.refusals >= maxRefusals {
 		return false
 	}
-	return s.chargeRetry()
+	return s.replacementAnswers(r) && s.chargeRetry()
+}
+
+// maxReplacementProbes bounds the upstreams that are probed before a run is ended on suspicion.
+const maxReplacementProbes = 2
+
+// replacementAnswers reports whether an upstream to which the generation could move answers a probe. If none does, the router itself
+// may be unable to open connections. The connection of the probe is pooled for the next run.
+func (s *stream) replacementAnswers(r *run) bool {
+	excluded := maps.Clone(s.tried)
+	excluded[r.upstream.ID] = true
+	for range maxReplacementProbes {
+		u, ok := s.pickReplacement(excluded)
+		if !ok {
+			return false
+		}
+		if s.prober.alive(u) {
+			return true
+		}
+		excluded[u.ID] = true
+	}
+	return false
+}
+
+// pickReplacement picks the upstream to which the generation would move.
+func (s *stream) pickReplacement(excluded map[ids.VM]bool) (fleet.Upstream, bool) {
+	now := s.clock.Now()
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	list := s.runCandidates(excluded, "", now)
+	c, _, ok := s.picker.Pick(list.candidates, s.placementReq, s.model, now)
+	return list.get(c.ID), ok
 }
