A request that has run waits for a connection for its next attempt

A stream that had run without an event, and an idempotent call, were refused with 502 after six failed dials within milliseconds, although they may run again. They can no longer be refused as not run, so they try for three seconds to open a connection, ten times a second.

--- a/router/direct/call_retry.go
+++ b/router/direct/call_retry.go
@@ -30,7 +30,7 @@
 	if x.mayHaveRun && !x.route.Retryable() {
 		return fault.Wrap(fault.CallOutcomeUnknown, err, "sent once")
 	}
-	if x.refusals >= maxRefusals || x.runs() >= x.route.MaxAttempts {
+	if x.runs() >= x.route.MaxAttempts || x.refusals >= maxRefusals && !x.awaitConnection(err) {
 		return fault.Wrap(exhausted, err, "after %d attempts", x.attempts)
 	}
 	if !x.chargeRetry() {
@@ -39,6 +39,34 @@
 	return nil
 }
 
+const (
+	// maxConnectWait bounds how long a request that has run waits for a connection for its next attempt. Upstreams that are gone are
+	// known to be by then.
+	maxConnectWait = 3 * time.Second
+	// connectPause is the pause between two such attempts.
+	connectPause = 100 * time.Millisecond
+)
+
+// awaitConnection pauses before the next attempt of a request that has run and finds no connection, and returns false if the request is
+// to be given up. Such a request cannot be refused as not run any more.
+func (x *exchange) awaitConnection(err error) bool {
+	if !x.mayHaveRun || !errors.Is(err, errNotSent) {
+		return false
+	}
+	now := x.clock.Now()
+	if x.noConnectionSince.IsZero() {
+		x.noConnectionSince = now
+	}
+	if now.Sub(x.noConnectionSince) > maxConnectWait {
+		return false
+	}
+	select {
+	case <-x.ctx.Done():
+	case <-x.clock.After(connectPause):
+	}
+	return true
+}
+
 // chargeRetry charges the next attempt to the retry budget, unless it is the first, and reports whether it is allowed. An attempt
 // that finds no connection leaves its charge to the next one until it is older than a bucket of the budget.
 func (x *exchange) chargeRetry() bool {
@@ -63,6 +91,7 @@
 // countAttempt counts an attempt for which there is a connection.
 func (x *exchange) countAttempt() {
 	x.attempts++
+	x.noConnectionSince = time.Time{}
 	x.chargedAt = time.Time{}
 }
 
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -47,6 +47,8 @@
 	reserved int64
 	// chargedAt is when the next attempt was charged to the retry budget, or zero if it was not.
 	chargedAt time.Time
+	// noConnectionSince is since when a request that has run waits for a connection, or zero if it does not.
+	noConnectionSince time.Time
 	// headerSent is set once a response header has been sent to the caller.
 	headerSent bool
 }
