--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
+	"bilberrylug.dev/router/upstream"
 )
 
 const (
@@ -143,12 +145,7 @@
 		x.mu.Unlock()
 	}()
 	ctx := x.ctx
-	if x.route.Kind == routing.Idempotent && x.runs()+1 < x.route.MaxAttempts {
-		limited, cancel := context.WithTimeoutCause(ctx,
-			time.Duration(firstAttemptShare*float64(x.remaining())), errAttemptTimeout)
-		defer cancel()
-		ctx = limited
-	}
+	attemptTime := time.Duration(firstAttemptShare * float64(x.remaining()))
 	conn, err := x.connect(ctx, u)
 	if err != nil {
 		return nil, err
@@ -157,6 +154,9 @@
 	x.logAttempt(u.ID, "domain", u.Domain, "tried_before", len(tried), "reused", conn.Reused())
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
+	if x.route.Kind == routing.Idempotent && x.runs() < x.route.MaxAttempts {
+		conn.SetStallFunc(x.attemptLimit(x.clock.Now().Add(attemptTime), u.ID, tried))
+	}
 	a, err := x.roundTrip(ctx, conn, u)
 	if err != nil {
 		conn.Close()
@@ -168,6 +168,29 @@
 	return a, err
 }
 
+// attemptLimit returns the function that ends an attempt at a time if a retry elsewhere is possible and the retry budget allows it.
+func (x *exchange) attemptLimit(at time.Time, id ids.VM, tried map[ids.VM]bool) upstream.StallFunc {
+	return func(time.Duration) (time.Duration, error) {
+		if left := at.Sub(x.clock.Now()); left > 0 {
+			return left, nil
+		}
+		if !x.hasAlternative(id, tried) || !x.chargeRetry() {
+			return attemptRecheckInterval, nil
+		}
+		return 0, errAttemptTimeout
+	}
+}
+
+// attemptRecheckInterval is the interval at which an overdue attempt that could not be replaced is looked at again.
+const attemptRecheckInterval = 100 * time.Millisecond
+
+// hasAlternative reports whether another upstream than those tried and the given one may receive the call.
+func (x *exchange) hasAlternative(id ids.VM, tried map[ids.VM]bool) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.ContainsFunc(x.fleet.Usable(x.service.Name), func(u *fleet.Upstream) bool { return u.ID != id && !tried[u.ID] })
+}
+
 // connect returns a pooled or new connection. On an error nothing was sent. An upstream is lost if it accepts no connection within
 // dialTimeout, but not if ctx, which holds the caller's patience and the attempt's share of time, ends before.
 func (x *exchange) connect(ctx context.Context, u fleet.Upstream) (connection, error) {
@@ -221,7 +244,7 @@
 		return nil, errUpstreamFull
 	}
 	body, err := x.readAnswer(resp.Body)
-	if fault.CodeOf(err) == fault.ReplyTooLarge {
+	if fault.CodeOf(err) == fault.ReplyTooLarge || errors.Is(err, errAttemptTimeout) {
 		return nil, err
 	}
 	if err != nil {
