Logs show the request rates that upstreams name

EV3012 now says when an upstream names, changes or lifts its limit, who told it, and the age of what was believed before. core/ratelimit keeps the newest statement of each upstream, 4,096 at most. Nothing is decided by it yet.

--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -89,6 +89,14 @@
 	// Signed is set if the response was produced by the upstream itself for this request.
 	Signed bool
 	Load   Load
+	Limit  RateLimit
+}
+
+// RateLimit is the number of requests a second that an upstream takes from all routers together.
+type RateLimit struct {
+	// Named is set if the upstream has named a limit, Unreadable if what it has named is no rate.
+	Named, Unreadable bool
+	PerSecond         float64
 }
 
 // Load is the load that an upstream reports, if Known is set.
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -224,6 +224,7 @@
 		return nil, cause(ctx, err)
 	}
 	reply := x.dialect.Reply(resp)
+	x.recordStatements(u, reply)
 	x.mu.Lock()
 	if !reply.Misdirected {
 		x.fleet.RecordAnswer(u.ID, x.clock.Now())
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -38,6 +38,7 @@
 		return cause(s.ctx, err)
 	}
 	reply := s.dialect.Reply(resp)
+	s.recordStatements(r.upstream, reply)
 	if reply.NotRun {
 		s.mayHaveRun = mayHaveRunBefore
 		return s.handleRefusal(conn, resp, reply, r)
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -15,6 +15,7 @@
 	"bilberrylug.dev/core/mirror"
 	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/quarantine"
+	"bilberrylug.dev/core/ratelimit"
 	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/core/shutdown"
 	"bilberrylug.dev/core/store"
@@ -78,6 +79,8 @@
 	peers *shutdown.Fleet
 	// quarantine decides which prompts are no longer sent to engines because a part of them crashes engines.
 	quarantine *quarantine.Quarantine
+	// rateLimits holds the request rates that upstreams take.
+	rateLimits *ratelimit.Limiter
 	// tokenTime is the mean time per output token over all engines.
 	tokenTime placement.TokenTime
 	// startedAt is when the process started.
@@ -94,7 +97,7 @@
 		limits: limits, answers: newAnswerMemory(cfg.MemoryMegabytes),
 		fleet:      fleet.New(reregisterTime),
 		picker:     placement.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, LoadTracker: placement.NewLoadTracker()},
-		quarantine: quarantine.New(cfg.VM),
+		quarantine: quarantine.New(cfg.VM), rateLimits: ratelimit.New(cfg.VM),
 		limiters:   map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(),
