Upstreams get no more requests than the rate that they have named, from all routers together

Callers saw nothing; upstreams in need got several times what they had named (LIMIT): the routers did not read it. A router counts on its own demand only as far as the others have been told of it, so that the parts never add up to more than the limit (property test). Small limits are shared by some routers only, chosen by weighted rendezvous hashing, since each one may save up a request. The newest statement counts and fades when nobody hears of the upstream. Where other upstreams take requests, they get them; where none does, requests wait for at most half of their time or are refused with BL1113 and the time until one does.

--- a/core/fault/catalogue.go
+++ b/core/fault/catalogue.go
@@ -28,6 +28,7 @@
 	{NoWitness, "BL1110", http.StatusServiceUnavailable, NotRun, time.Second, false, "No agent could take the second copy of the journal.", "Check that at least two agents are live."},
 	{RouterStopping, "BL1111", http.StatusServiceUnavailable, NotRun, 100 * time.Millisecond, true, "The router is about to stop and takes no long work.", "Try again; another router answers."},
 	{PromptQuarantined, "BL1112", http.StatusServiceUnavailable, NotRun, 30 * time.Second, false, "A part of the prompt is in quarantine, since upstreams crash on it.", "Leave out the part that the detail names, or try again after the stated time."},
+	{UpstreamLimited, "BL1113", http.StatusServiceUnavailable, NotRun, time.Second, false, "All upstreams of the service get as many requests as they have said that they take.", "Try again after the stated time, or add upstreams."},
 	{LedgerUnavailable, "BL1201", http.StatusServiceUnavailable, NotRun, time.Second, false, "The platform's service could not record the intent.", "Try again with the same idempotency key when the service answers."},
 	{LedgerFull, "BL1202", http.StatusServiceUnavailable, NotRun, time.Minute, false, "The ledger bucket holds as many entries as it may.", "Raise the service's ledger buckets or lower its retention."},
 	{CallCancelled, "BL1203", http.StatusServiceUnavailable, NotRun, 0, false, "The call was cancelled before it was sent.", "Send the call again with a new idempotency key."},
--- a/core/fault/code.go
+++ b/core/fault/code.go
@@ -26,6 +26,7 @@
 	MemoryLimit        Code = "memory_limit"
 	NoWitness          Code = "no_witness"
 	PromptQuarantined  Code = "prompt_quarantined"
+	UpstreamLimited    Code = "upstream_limited"
 	LedgerUnavailable  Code = "ledger_unavailable"
 	LedgerFull         Code = "ledger_full"
 	CallCancelled      Code = "call_cancelled"
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -3,12 +3,19 @@
 // An upstream in need names in its answers the rate that it takes. Each router records what the answers say and passes it on with its
 // state updates; the newest statement counts. It fades when nobody hears from the upstream any more.
 //
+// Each router takes the part of a limit that its demand for the service has in the demand of all, which the routers announce to each
+// other. A router counts on its own demand only as far as all others have been told of it, so that the parts never add up to more than
+// the limit. Where there are more routers than a small limit has requests a second, only some of them share it.
+//
 // # Usage
 //
 //	l := ratelimit.New("entry-1")
 //	change, changed := l.Record("engine-7", "pool", ratelimit.Statement{Named: true, Rate: 5.5}, now)
 //	l.Merge(reports, now)     // statements that another router has passed on
 //	reports := l.Reports(now) // statements for the other routers
+//	l.RecordRequest("pool", now)
+//	demand := l.Announce("pool", now)         // for the other routers
+//	if l.Delay("engine-7", now) == 0 { l.Take("engine-7", now) } // may send
 package ratelimit
 
 import (
@@ -71,16 +78,26 @@
 	service ids.Service
 	Statement
 	at time.Time
+	// bucket limits this router's requests; nil until it is used.
+	bucket *bucket
 }
 
 // Limiter holds the limits of upstreams, as known to one router. It is not safe for concurrent use.
 type Limiter struct {
 	self      ids.VM
 	upstreams map[ids.VM]*limited
+	services  map[ids.Service]*serviceDemand
+	// present holds the other routers, interval the longest interval at which they receive state updates.
+	present  map[ids.VM]bool
+	interval time.Duration
 }
 
 // New returns a limiter of a router that knows no limits.
-func New(self ids.VM) *Limiter { return &Limiter{self: self, upstreams: map[ids.VM]*limited{}} }
+func New(self ids.VM) *Limiter {
+	return &Limiter{
+		self: self, upstreams: map[ids.VM]*limited{}, services: map[ids.Service]*serviceDemand{}, present: map[ids.VM]bool{},
+	}
+}
 
 // Record records what an answer of an upstream has said, and reports whether that changes its limit.
 func (l *Limiter) Record(id ids.VM, service ids.Service, s Statement, now time.Time) (Change, bool) {
@@ -116,6 +133,9 @@
 		c.BeforeAge = now.Sub(u.at)
 	}
 	changed := u.Statement != s
+	if changed && u.bucket != nil {
+		u.bucket.computedAt = time.Time{}
+	}
 	u.service, u.Statement, u.at = service, s, at
 	return c, changed
 }
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -209,15 +210,12 @@
 	}
 }
 
-// expire removes expired upstreams and idle connections, and updates the number of routers.
+// expire removes expired upstreams and idle connections, and updates which routers are present.
 func (a *App) expire() {
 	a.state.expireUpstreams()
-	a.state.setRouters(len(a.broadcaster.Peers())+1, intervalsUntilStale*a.broadcaster.LongestInterval())
+	a.state.setPeers(slices.Collect(maps.Keys(a.broadcaster.Peers())), a.broadcaster.LongestInterval())
 }
 
-// intervalsUntilStale is the number of intervals of state updates for which the reports of another router are used.
-const intervalsUntilStale = 3
-
 // ready reports whether the load balancer should send callers here: the router has a configuration, has fetched the
 // engines' cached prompts or waited maxReadyDelay for them, is not stopping, has no high scheduling delay, and does not lack a
 // newer configuration for long.
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -15,7 +14,6 @@
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
-	"bilberrylug.dev/router/upstream"
 )
 
 const (
@@ -88,10 +86,10 @@
 	start := x.clock.Now()
 	var err error
 	defer func() { x.releaseSlot(errors.Is(err, errUpstreamFull), x.clock.Since(start)) }()
-	u, ok := x.pickCall(tried)
-	if !ok {
+	u, refusal := x.pickCall(tried)
+	if refusal != nil {
 		err = errNotSent
-		return nil, u, &refusedError{x.noUpstreamError()}
+		return nil, u, &refusedError{refusal}
 	}
 	var a *answer
 	a, err = x.tryCall(u, tried)
@@ -119,31 +117,9 @@
 	x.logEnd(a.resp.StatusCode, "bytes", len(a.body), "delivered", err == nil)
 }
 
-// pickCall chooses the upstream of the next attempt and counts the call there.
-func (x *exchange) pickCall(tried map[ids.VM]bool) (fleet.Upstream, bool) {
-	now := x.clock.Now()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	list := x.candidates(tried, "", now)
-	slots := make(map[ids.VM]int, len(list.upstreams))
-	for _, u := range list.upstreams {
-		slots[u.ID] = u.Slots
-	}
-	c, ok := x.calls.Pick(list.candidates, slots, now)
-	if !ok {
-		return fleet.Upstream{}, false
-	}
-	x.calls.Start(c.ID)
-	return list.get(c.ID), true
-}
-
 // tryCall makes one attempt at an upstream and reads the complete answer.
 func (x *exchange) tryCall(u fleet.Upstream, tried map[ids.VM]bool) (*answer, error) {
-	defer func() {
-		x.mu.Lock()
-		x.calls.End(u.ID)
-		x.mu.Unlock()
-	}()
+	defer x.endCall(u.ID)
 	ctx := x.ctx
 	attemptTime := time.Duration(firstAttemptShare * float64(x.remaining()))
 	conn, err := x.connect(ctx, u)
@@ -168,29 +144,6 @@
 	return a, err
 }
 
-// attemptLimit returns the function that ends an attempt at a time if a retry elsewhere is possible and the retry budget allows it.
-func (x *exchange) attemptLimit(at time.Time, id ids.VM, tried map[ids.VM]bool) upstream.StallFunc {
-	return func(time.Duration) (time.Duration, error) {
-		if left := at.Sub(x.clock.Now()); left > 0 {
-			return left, nil
-		}
-		if !x.hasAlternative(id, tried) || !x.chargeRetry() {
-			return attemptRecheckInterval, nil
-		}
-		return 0, errAttemptTimeout
-	}
-}
-
-// attemptRecheckInterval is the interval at which an overdue attempt that could not be replaced is looked at again.
-const attemptRecheckInterval = 100 * time.Millisecond
-
-// hasAlternative reports whether another upstream than those tried and the given one may receive the call.
-func (x *exchange) hasAlternative(id ids.VM, tried map[ids.VM]bool) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return slices.ContainsFunc(x.fleet.Usable(x.service.Name), func(u *fleet.Upstream) bool { return u.ID != id && !tried[u.ID] })
-}
-
 // connect returns a pooled or new connection. On an error nothing was sent. An upstream is lost if it accepts no connection within
 // dialTimeout, but not if ctx, which holds the caller's patience and the attempt's share of time, ends before.
 func (x *exchange) connect(ctx context.Context, u fleet.Upstream) (connection, error) {
--- a/router/direct/candidates.go
+++ b/router/direct/candidates.go
@@ -17,6 +17,8 @@
 type candidateList struct {
 	candidates []placement.Candidate
 	upstreams  []*fleet.Upstream
+	// delay is how long a request has to wait until an upstream takes it. If it is not zero, there is one candidate, which takes it then.
+	delay time.Duration
 }
 
 // get returns the upstream of a candidate.
@@ -30,7 +32,8 @@
 }
 
 // candidates returns usable upstreams of the request's service: all of them or, if they are many, a random part that includes
-// the preferred one. Those already tried are included only if there are no others. The caller must hold x.state.mu.
+// the preferred one. Those already tried are included only if there are no others. If none takes a request now, it returns the one that
+// does so first. The caller must hold x.state.mu.
 func (x *exchange) candidates(tried map[ids.VM]bool, preferred ids.VM, now time.Time) candidateList {
 	all := x.fleet.Usable(x.service.Name)
 	list := candidateList{candidates: make([]placement.Candidate, 0, min(len(all), maxCandidates))}
@@ -39,10 +42,16 @@
 		list.upstreams = append(list.upstreams, u)
 	}
 	var retried []*fleet.Upstream
+	var first *fleet.Upstream
 	for _, u := range drawUpstreams(all, preferred) {
-		if tried[u.ID] {
+		delay := x.rateLimits.Delay(u.ID, now)
+		switch {
+		case delay > 0 && (first == nil || delay < list.delay):
+			first, list.delay = u, delay
+		case delay > 0:
+		case tried[u.ID]:
 			retried = append(retried, u)
-		} else {
+		default:
 			add(u)
 		}
 	}
@@ -51,6 +60,11 @@
 			add(u)
 		}
 	}
+	if len(list.candidates) > 0 {
+		list.delay = 0
+	} else if first != nil {
+		add(first)
+	}
 	return list
 }
 
--- a/router/direct/control.go
+++ b/router/direct/control.go
@@ -22,6 +22,9 @@
 	if err != nil {
 		return relay.Reply{}, nil, err
 	}
+	h.mu.Lock()
+	h.rateLimits.Take(u.ID, h.clock.Now())
+	h.mu.Unlock()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	//nolint:bodyclose // The connection owns the body: Release or Close ends it.
@@ -33,6 +36,7 @@
 		conn.Close()
 		return relay.Reply{}, nil, err
 	}
+	h.recordStatements(u, h.dialect.Reply(resp))
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes+1))
 	if err == nil && len(body) > maxControlBytes {
 		err = fault.New(fault.ReplyTooLarge, "a reply of more than %d bytes to a call of the router", maxControlBytes)
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -182,6 +182,9 @@
 			return u, true
 		}
 	}
+	if c.s.rateLimits.Delay(c.r.upstream.ID, now) > 0 {
+		return fleet.Upstream{}, false
+	}
 	list := c.s.runCandidates(map[ids.VM]bool{}, "", now)
 	u, ok := c.s.pickCopyHost(c.r, list, now)
 	if ok {
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -86,6 +86,7 @@
 	defer x.limitWriting()()
 	h.mu.Lock()
 	h.budget.RecordRequest(x.service.Name, x.arrivedAt)
+	h.rateLimits.RecordRequest(x.service.Name, x.arrivedAt)
 	h.mu.Unlock()
 	if x.route.Kind == routing.Streaming {
 		x.stream()
--- /dev/null
+++ b/router/direct/limit_wait.go
@@ -0,0 +1,58 @@
+package direct
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bilberrylug.dev/core/fault"
+	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/ratelimit"
+)
+
+// limitedError ends an attempt for which each upstream has as many requests as it takes.
+type limitedError struct{ wait time.Duration }
+
+// Error implements error.
+func (e *limitedError) Error() string { return "all upstreams get as many requests as they take" }
+
+const (
+	// maxLimitRetryAfter bounds the Retry-After of a request that no upstream takes, since the parts of the limits that routers use
+	// follow their callers within a few seconds.
+	maxLimitRetryAfter = 2 * time.Second
+	// limitWaitShare is the part of a request's remaining time that it may wait for an upstream that takes it.
+	limitWaitShare = 0.5
+)
+
+// fault returns the refusal. The spread keeps callers from returning at once.
+func (e *limitedError) fault() *fault.Error {
+	f := fault.New(fault.UpstreamLimited, "%s", e.Error())
+	wait := min(maxLimitRetryAfter, e.wait)
+	f.Kind.RetryAfter = wait + time.Duration(rand.Float64()*float64(wait)/2)
+	return f
+}
+
+// mayAwaitLimit reports whether the request may wait for an upstream that takes it after a delay.
+func (x *exchange) mayAwaitLimit(delay time.Duration) bool {
+	return delay < time.Duration(limitWaitShare*float64(x.remaining()))
+}
+
+// awaitLimit waits for the delay of a request that was charged to the limit of an upstream. It takes the charge back and returns false if
+// the upstream may not receive the request any more.
+func (x *exchange) awaitLimit(u fleet.Upstream, delay time.Duration, charge ratelimit.Charge) bool {
+	if delay <= 0 {
+		return true
+	}
+	x.metrics.Counter("requests_held_by_limit", "service", string(x.service.Name)).Inc(1)
+	select {
+	case <-x.ctx.Done():
+	case <-x.clock.After(delay):
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now, known := x.fleet.Get(u.ID)
+	if x.ctx.Err() == nil && known && now.Started == u.Started && now.Available() {
+		return true
+	}
+	charge.Cancel(x.clock.Now())
+	return false
+}
--- a/router/direct/resume.go
+++ b/router/direct/resume.go
@@ -20,9 +20,12 @@
 	if q := (*quarantineError)(nil); errors.As(err, &q) {
 		return q.fault()
 	}
+	limited := (*limitedError)(nil)
 	switch {
 	case s.headerSent:
 		return s.awaitResume(err)
+	case errors.As(err, &limited) && s.remaining() >= minAnswerTime:
+		return limited.fault()
 	case errors.Is(err, errNoUpstream) && s.remaining() >= minAnswerTime:
 		return s.noUpstreamError()
 	case s.mayHaveRun:
@@ -38,7 +41,7 @@
 	if !s.route.Retryable() || s.runs() >= s.route.MaxAttempts {
 		return fault.Wrap(fault.ResumeExhausted, err, "after %d attempts", s.attempts)
 	}
-	wait := errors.Is(err, errNoUpstream) || s.refusals >= maxRefusals
+	wait := errors.Is(err, errNoUpstream) || errors.As(err, new(*limitedError)) || s.refusals >= maxRefusals
 	for s.remaining() >= minAnswerTime && s.ctx.Err() == nil {
 		if !wait && s.chargeRetry() {
 			return nil
--- a/router/direct/slow.go
+++ b/router/direct/slow.go
@@ -62,7 +62,7 @@
 	tried[r.upstream.ID] = true
 	list := s.runCandidates(tried, "", now)
 	c, predicted, ok := s.picker.Pick(list.candidates, s.placementReq, s.model, now)
-	if !ok || c.Suspect || tried[c.ID] || !p.ShouldMove(predicted) {
+	if !ok || list.delay > 0 || c.Suspect || tried[c.ID] || !p.ShouldMove(predicted) {
 		return fleet.Upstream{}, 0, false
 	}
 	return list.get(c.ID), float64(p.Elapsed) / float64(p.Predicted), true
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -185,5 +185,5 @@
 	defer s.state.mu.Unlock()
 	list := s.runCandidates(excluded, "", now)
 	c, _, ok := s.picker.Pick(list.candidates, s.placementReq, s.model, now)
-	return list.get(c.ID), ok
+	return list.get(c.ID), ok && list.delay == 0
 }
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -98,7 +98,7 @@
 		fleet:      fleet.New(reregisterTime),
 		picker:     placement.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, LoadTracker: placement.NewLoadTracker()},
 		quarantine: quarantine.New(cfg.VM), rateLimits: ratelimit.New(cfg.VM),
-		limiters:   map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
+		limiters: map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(),
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
@@ -169,6 +169,7 @@
 		st.fleet.Remove(id, now)
 		st.picker.Forget(id)
 		st.calls.Forget(id)
+		st.rateLimits.Forget(id)
 		st.log.Write(event.UpstreamChanged, "upstream", id, "state", "entry removed", "store_revision", uint64(c.Modified))
 		return
 	}
@@ -182,6 +183,7 @@
 	if !known || old.Started != e.Started {
 		// Connections to the previous upstream at the address may look open if it ended without closing them.
 		st.pool.CloseIdle(e.Address)
+		st.rateLimits.Forget(e.ID)
 	}
 	if known && old.Entry == e {
 		return
@@ -222,12 +224,16 @@
 	return st.watcherRole.SendsChangesTo(now)
 }
 
-// setRouters sets the number of routers that share the limits, at least minRouters, and how long the reports of another one
-// are used.
-func (st *state) setRouters(n int, peerTTL time.Duration) {
+// intervalsUntilStale is the number of intervals of state updates for which the reports of another router are used.
+const intervalsUntilStale = 3
+
+// setPeers sets the other routers, which share the limits, and the longest interval of state updates.
+func (st *state) setPeers(peers []ids.VM, interval time.Duration) {
+	peerTTL := intervalsUntilStale * interval
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.picker.Routers = max(minRouters, n)
+	st.rateLimits.SetPeers(peers, interval)
+	st.picker.Routers = max(minRouters, len(peers)+1)
 	st.picker.PeerTTL = peerTTL
 	st.budget.PeerTTL = peerTTL
 	st.peers.PeerTTL = peerTTL
@@ -243,6 +249,7 @@
 	for _, id := range st.fleet.Expire(now) {
 		st.log.Write(event.UpstreamChanged, "upstream", id, "state", "not registered again after store outage")
 	}
+	st.logLimits(st.rateLimits.Expire(now), "")
 	st.pool.CloseExpired()
 }
 
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -1,10 +1,15 @@
 package direct
 
 import (
+	"time"
+
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/ratelimit"
 	"bilberrylug.dev/core/relay"
+	"bilberrylug.dev/core/wire"
+	"bilberrylug.dev/core/wireconv"
 )
 
 // recordStatements records what an answer says about the upstream that has sent it.
@@ -17,13 +22,33 @@
 	}
 	s := ratelimit.Statement{Named: r.Limit.Named, Rate: ratelimit.Rate(r.Limit.PerSecond)}
 	now := st.clock.Now()
-	var changed bool
-	c := locked(&st.mu, func() ratelimit.Change {
-		var c ratelimit.Change
-		c, changed = st.rateLimits.Record(u.ID, u.Service, s, now)
-		return c
+	changes := locked(&st.mu, func() []ratelimit.Change {
+		if c, changed := st.rateLimits.Record(u.ID, u.Service, s, now); changed {
+			return []ratelimit.Change{c}
+		}
+		return nil
 	})
-	if changed {
-		st.log.Write(event.UpstreamLimit, append(c.LogFields(), "told_by", u.ID)...)
+	st.logLimits(changes, u.ID)
+	if len(changes) > 0 {
+		st.broadcastSoon()
+	}
+}
+
+func (st *state) logLimits(changes []ratelimit.Change, toldBy ids.VM) {
+	for _, c := range changes {
+		st.log.Write(event.UpstreamLimit, append(c.LogFields(), "told_by", toldBy)...)
+	}
+}
+
+// mergeLimits records the limits that another router has reported. The caller must hold st.mu.
+func (st *state) mergeLimits(n *wire.News, now time.Time) {
+	reports := wireconv.LimitsFromWire(n.GetLimits())
+	known := reports[:0]
+	for _, r := range reports {
+		if u, ok := st.fleet.Get(r.Upstream); ok {
+			r.Service = u.Service
+			known = append(known, r)
+		}
 	}
+	st.logLimits(st.rateLimits.Merge(known, now), ids.VM(n.GetSender()))
 }
--- a/router/direct/updates.go
+++ b/router/direct/updates.go
@@ -69,8 +69,12 @@
 		}
 	}
 	for service, c := range st.budget.OwnCounts(now) {
-		n.Counts = append(n.Counts, &wire.Counts{Service: string(service), Requests: uint32(c.Requests), Repeats: uint32(c.Retries)})
+		n.Counts = append(n.Counts, &wire.Counts{
+			Service: string(service), Requests: uint32(c.Requests), Repeats: uint32(c.Retries),
+			DemandMilli: wireconv.DemandToWire(st.rateLimits.Announce(service, now)),
+		})
 	}
+	n.Limits = wireconv.LimitsToWire(st.rateLimits.Reports(now))
 	n.Quarantine = wireconv.QuarantineToWire(st.quarantine.Report(now))
 	st.renamed = slices.DeleteFunc(st.renamed, func(r renamedUpstream) bool { return now.Sub(r.renamedAt) > identityBroadcastTime })
 	for _, r := range st.renamed {
@@ -127,9 +131,13 @@
 	for _, h := range n.GetHomes() {
 		st.applyCachedPrompt(h, now)
 	}
+	sender := ids.VM(n.GetSender())
 	for _, c := range n.GetCounts() {
-		st.budget.SetPeerCounts(ids.VM(n.GetSender()), ids.Service(c.GetService()), budget.Counts{Requests: int(c.GetRequests()), Retries: int(c.GetRepeats())}, now)
+		service := ids.Service(c.GetService())
+		st.budget.SetPeerCounts(sender, service, budget.Counts{Requests: int(c.GetRequests()), Retries: int(c.GetRepeats())}, now)
+		st.rateLimits.MergeDemand(sender, service, wireconv.DemandFromWire(c.GetDemandMilli()), now)
 	}
+	st.mergeLimits(n, now)
 	for _, r := range n.GetRenamed() {
 		if st.fleet.Rename(ids.VM(r.GetOld()), ids.VM(r.GetName()), now) {
 			st.log.Write(event.UpstreamChanged, "upstream", r.GetName(), "was", r.GetOld(), "told_by", n.GetSender())
