What the store has said is ordered by era, then by revision

After the store had returned from an older copy, callers got 404 for routes that had been confirmed, or answers of the configuration before: the store gives out revisions again, and routers took the new changes for older ones. A revision now holds the era of the store and its count, and is ordered by both wherever it is kept, compared, passed on or watched. Leases belong to an era. What writers number themselves is ordered by their numbers: the configuration by its version (as before), upstreams' entries by start and sequence, so that a copy does not bring back an upstream that has left or drains. Logs show revisions as era.count, EV2008 the return, EV2009 an older configuration that was ignored.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -23,6 +23,8 @@
 	ChangesPulled       = Kind{"EV2005", slog.LevelInfo, "changes of the store received from another router on request", noAction}
 	ValueFetched        = Kind{"EV2006", slog.LevelInfo, "large value fetched", noAction}
 	PullFailed          = Kind{"EV2007", slog.LevelWarn, "request to another router for changes of the store failed", "None, unless it persists; another router is asked. Check the link of the named router."}
+	StoreRestored       = Kind{"EV2008", slog.LevelWarn, "store has returned from an older copy", "None; what was written since the copy is to be written again."}
+	ConfigOutdated      = Kind{"EV2009", slog.LevelInfo, "older configuration than the active one ignored", "None, unless no newer one follows; then apply the active version again."}
 	MemberChanged       = Kind{"EV3001", slog.LevelInfo, "member state changed", "None, unless many change at once."}
 	ExchangeFailed      = Kind{"EV3002", slog.LevelDebug, "exchange with a peer failed", "None, unless it persists."}
 	Draining            = Kind{"EV3003", slog.LevelInfo, "upstream is leaving", "Stop the VM when it has no running work."}
@@ -71,7 +73,7 @@
 // Catalogue lists every event in the order of the numbers.
 var Catalogue = []Kind{
 	Started, Stopping, Stopped, Ready, Reloaded, LinesDropped, SchedulingDelayed, SchedulingRecovered, Panicked,
-	ConfigActivated, ConfigUnreadable, StoreFailed, StoreReached, ChangesPulled, ValueFetched, PullFailed,
+	ConfigActivated, ConfigUnreadable, StoreFailed, StoreReached, ChangesPulled, ValueFetched, PullFailed, StoreRestored, ConfigOutdated,
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamRecovered, PeerChanged, UpstreamSlow, UpstreamFailing, ProbeUnanswered, UpstreamLimit,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	d := fleet.New(2*time.Second)
-//	d.Put(entry)
+//	d.Put(entry, era, now)
 //	for _, u := range d.Usable("lug-pool") { ... }
 //	d.MarkLost(u.ID, u.Started, now) // unavailable until it registers a new start or a probe succeeds
 package fleet
@@ -15,6 +15,7 @@
 	"time"
 
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/store"
 )
 
 const (
@@ -45,6 +46,8 @@
 	answeredAt time.Time
 	// probedAt is when it was last probed while unavailable.
 	probedAt time.Time
+	// era is that of the store in which the entry was last read.
+	era store.Era
 	// missingSince is when its entry disappeared while the store may have dropped the entries of live upstreams.
 	missingSince time.Time
 }
@@ -61,6 +64,9 @@
 	// storeRecoveredAt is when the store became reachable again, zero before its first recovery.
 	storeRecoveredAt time.Time
 	storeDown        bool
+	// departed holds the last entries of upstreams that have left the store, returned those that only an older copy of it has brought back.
+	departed map[ids.VM]departure
+	returned map[ids.VM]returnedEntry
 	// usable caches the results of Usable until an upstream appears, disappears or changes its availability.
 	usable map[ids.Service][]*Upstream
 }
@@ -70,7 +76,7 @@
 func New(reregisterTime time.Duration) *Directory {
 	return &Directory{
 		reregisterTime: reregisterTime, upstreams: map[ids.VM]*Upstream{}, byAddress: map[string]ids.VM{}, losses: map[ids.FailureDomain][]time.Time{},
-		usable: map[ids.Service][]*Upstream{},
+		usable: map[ids.Service][]*Upstream{}, departed: map[ids.VM]departure{}, returned: map[ids.VM]returnedEntry{},
 	}
 }
 
@@ -95,25 +101,39 @@
 	}
 }
 
-// Put adds or updates an upstream's entry. Any other upstream registered at the same address has ended and is deleted.
-func (d *Directory) Put(e Entry) {
+// Put adds or updates an upstream's entry that was read in an era of the store. Any other upstream registered at the same address has
+// ended and is deleted. It returns false if the entry comes from an older copy of the store and is outdated.
+func (d *Directory) Put(e Entry, era store.Era, now time.Time) bool {
+	old, known := d.upstreams[e.ID]
+	if known && old.outdates(e, era) {
+		old.era, old.missingSince = era, time.Time{}
+		return false
+	}
+	if !known && d.holdBack(e, era, now) {
+		return false
+	}
+	delete(d.departed, e.ID)
+	delete(d.returned, e.ID)
 	if at, taken := d.byAddress[e.Address]; taken && at != e.ID {
 		d.remove(at)
 	}
-	old, known := d.upstreams[e.ID]
 	if !known || old.Started != e.Started || old.Address != e.Address {
 		d.remove(e.ID)
-		d.add(&Upstream{Entry: e})
-		return
+		d.add(&Upstream{Entry: e, era: era})
+		return true
 	}
 	d.changed()
-	old.Entry = e
+	// An upstream that leaves does not come back with the same start.
+	e.Draining = e.Draining || old.Draining
+	old.Entry, old.era = e, era
 	old.missingSince = time.Time{}
+	return true
 }
 
 // Remove deletes an entry. While the store is unreachable, and until live upstreams have had time to register again, an
 // upstream that is not draining is only marked as missing and stays available.
 func (d *Directory) Remove(id ids.VM, now time.Time) {
+	delete(d.returned, id)
 	u, known := d.upstreams[id]
 	if !known {
 		return
@@ -122,7 +142,7 @@
 		u.missingSince = now
 		return
 	}
-	d.remove(id)
+	d.depart(u, now)
 }
 
 // SetStoreReachable records whether the store is reachable. An unreachable store does not count as an outage before any
@@ -149,7 +169,7 @@
 	var out []ids.VM
 	for id, u := range d.upstreams {
 		if !u.missingSince.IsZero() {
-			d.remove(id)
+			d.depart(u, now)
 			out = append(out, id)
 		}
 	}
--- a/core/fleet/directory_test.go
+++ b/core/fleet/directory_test.go
@@ -36,39 +36,39 @@
 	It("does not offer draining, removed or lost upstreams, and offers a lost one again after its next start", func() {
 		d := withStore(fleet.New(2 * time.Second))
 		for i := range 4 {
-			d.Put(entry(fmt.Sprint(i), 1))
+			d.Put(entry(fmt.Sprint(i), 1), 0, start)
 		}
 		draining := entry("0", 1)
 		draining.Draining = true
-		d.Put(draining)
+		d.Put(draining, 0, start)
 		d.Remove("1", start)
 		d.MarkLost("2", 1, start)
 		Expect(usable(d)).To(Equal([]ids.VM{"3"}))
-		d.Put(entry("2", 1))
+		d.Put(entry("2", 1), 0, start)
 		Expect(usable(d)).To(Equal([]ids.VM{"3"}), "the same start stays unavailable")
-		d.Put(entry("2", 2))
+		d.Put(entry("2", 2), 0, start)
 		Expect(usable(d)).To(Equal([]ids.VM{"2", "3"}))
 		d.MarkLost("2", 1, start)
 		Expect(usable(d)).To(Equal([]ids.VM{"2", "3"}), "a report about an earlier start is ignored")
 	})
 	It("deletes an upstream when another one registers at its address", func() {
 		d := withStore(fleet.New(2 * time.Second))
-		d.Put(entry("0", 1))
+		d.Put(entry("0", 1), 0, start)
 		next := entry("9", 2)
 		next.Address = entry("0", 1).Address
-		d.Put(next)
+		d.Put(next, 0, start)
 		Expect(usable(d)).To(Equal([]ids.VM{"9"}))
 	})
 	It("keeps upstreams whose entries expire during a store outage until two seconds after its recovery", func() {
 		d := withStore(fleet.New(2 * time.Second))
-		d.Put(entry("0", 1))
-		d.Put(entry("1", 1))
+		d.Put(entry("0", 1), 0, start)
+		d.Put(entry("1", 1), 0, start)
 		d.SetStoreReachable(false, start)
 		d.Remove("0", start.Add(time.Second))
 		d.Remove("1", start.Add(time.Second))
 		d.SetStoreReachable(true, start.Add(5*time.Second))
 		Expect(usable(d)).To(HaveLen(2))
-		d.Put(entry("0", 1))
+		d.Put(entry("0", 1), 0, start)
 		Expect(d.Expire(start.Add(6 * time.Second))).To(BeEmpty())
 		Expect(d.Expire(start.Add(7100 * time.Millisecond))).To(Equal([]ids.VM{"1"}))
 		Expect(usable(d)).To(Equal([]ids.VM{"0"}))
@@ -77,20 +77,20 @@
 		d := fleet.New(2 * time.Second)
 		d.SetStoreReachable(false, start)
 		d.SetStoreReachable(true, start.Add(time.Second))
-		d.Put(entry("0", 1))
+		d.Put(entry("0", 1), 0, start)
 		d.Remove("0", start.Add(1100*time.Millisecond))
 		Expect(usable(d)).To(BeEmpty())
 	})
 	It("deletes a removed entry at once while the store is reachable", func() {
 		d := withStore(fleet.New(2 * time.Second))
-		d.Put(entry("0", 1))
+		d.Put(entry("0", 1), 0, start)
 		d.Remove("0", start)
 		Expect(usable(d)).To(BeEmpty())
 	})
 	It("suspects a failure domain for one second after two losses within a second", func() {
 		d := withStore(fleet.New(2 * time.Second))
 		for i := range 3 {
-			d.Put(entry(fmt.Sprint(i), 1))
+			d.Put(entry(fmt.Sprint(i), 1), 0, start)
 		}
 		d.MarkLost("0", 1, start)
 		Expect(d.DomainSuspected("teesta", start)).To(BeFalse())
@@ -102,7 +102,7 @@
 	It("keeps suspecting a lost failure domain during a store outage, except for upstreams that have answered since", func() {
 		d := withStore(fleet.New(2 * time.Second))
 		for i := range 4 {
-			d.Put(entry(fmt.Sprint(i), 1))
+			d.Put(entry(fmt.Sprint(i), 1), 0, start)
 		}
 		d.SetStoreReachable(false, start)
 		d.MarkLost("0", 1, start.Add(time.Second))
@@ -117,8 +117,8 @@
 	})
 	It("adopts the new ID of an upstream only while its address cannot belong to another service yet", func() {
 		d := withStore(fleet.New(2 * time.Second))
-		d.Put(entry("0", 1))
-		d.Put(entry("1", 1))
+		d.Put(entry("0", 1), 0, start)
+		d.Put(entry("1", 1), 0, start)
 		d.RecordAnswer("0", start)
 		Expect(d.AdoptID("0", "7", start.Add(2*time.Second), 2*time.Second)).To(BeFalse())
 		Expect(d.AdoptID("1", "8", start, 2*time.Second)).To(BeFalse(), "it has not answered")
@@ -127,12 +127,12 @@
 		Expect(usable(d)).To(Equal([]ids.VM{"1", "7"}))
 		registered := entry("7", 3)
 		registered.Address = entry("0", 1).Address
-		d.Put(registered)
+		d.Put(registered, 0, start)
 		Expect(usable(d)).To(Equal([]ids.VM{"1", "7"}))
 	})
 	It("suspects an upstream that another router has lost until it answers, registers a new start, or three seconds have passed", func() {
 		d := withStore(fleet.New(2 * time.Second))
-		d.Put(entry("0", 1))
+		d.Put(entry("0", 1), 0, start)
 		suspected := func(after time.Duration) bool { u, _ := d.Get("0"); return d.IsSuspected(u, start.Add(after)) }
 		Expect(d.MarkSuspected("0", 1, start)).To(BeTrue())
 		Expect(suspected(2900 * time.Millisecond)).To(BeTrue())
@@ -141,15 +141,15 @@
 		d.RecordAnswer("0", start.Add(4100*time.Millisecond))
 		Expect(suspected(4200 * time.Millisecond)).To(BeFalse())
 		Expect(d.MarkSuspected("0", 1, start.Add(8*time.Second))).To(BeTrue())
-		d.Put(entry("0", 2))
+		d.Put(entry("0", 2), 0, start)
 		Expect(suspected(8100 * time.Millisecond)).To(BeFalse())
 	})
 	It("offers lost upstreams as a last resort, but never draining ones", func() {
 		d := withStore(fleet.New(2 * time.Second))
-		d.Put(entry("0", 1))
+		d.Put(entry("0", 1), 0, start)
 		leaving := entry("1", 1)
 		leaving.Draining = true
-		d.Put(leaving)
+		d.Put(leaving, 0, start)
 		d.MarkLost("0", 1, start)
 		Expect(usable(d)).To(Equal([]ids.VM{"0"}))
 	})
@@ -165,7 +165,7 @@
 				case 0:
 					e := entry(id, int64(rapid.IntRange(1, 2).Draw(t, "started")))
 					e.Draining = rapid.Bool().Draw(t, "draining")
-					d.Put(e)
+					d.Put(e, 0, start)
 					excluded[e.ID] = e.Draining
 				case 1:
 					d.Remove(ids.VM(id), now)
--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -13,4 +13,6 @@
 	Draining bool
 	// Started distinguishes one start of the upstream from the next; it is compared only for equality.
 	Started int64
+	// Seq counts the writes of the entry by one start of the upstream.
+	Seq int64
 }
--- a/core/mirror/delta.go
+++ b/core/mirror/delta.go
@@ -30,9 +30,9 @@
 
 // Delta returns the changes after a revision, without large values. It ends after maxBytes, but not between changes of the
 // same revision. If the replica no longer knows all keys that were removed after the revision, it returns the first part of
-// a snapshot.
+// a snapshot, and also if the revision is of an earlier era: the receiver may have keys that this replica has never known.
 func (r *Replica) Delta(since store.Revision, maxBytes int) Delta {
-	if since > 0 && since < r.prunedUpTo {
+	if since > 0 && (since < r.prunedUpTo || since.Era() < r.revision.Era()) {
 		return r.Snapshot(0, maxBytes)
 	}
 	return r.page(since, maxBytes)
--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -99,7 +99,7 @@
 		} else {
 			err = f.watch(ctx)
 		}
-		if errors.Is(err, store.ErrCompacted) && listed {
+		if listed && (errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored)) {
 			listed = false
 			continue
 		}
@@ -142,10 +142,10 @@
 		return
 	}
 	if err != nil {
-		f.o.Log.Write(event.StoreFailed, "error", err.Error(), "revision", uint64(revision))
+		f.o.Log.Write(event.StoreFailed, "error", err.Error(), "revision", revision)
 		return
 	}
-	f.o.Log.Write(event.StoreReached, "revision", uint64(revision))
+	f.o.Log.Write(event.StoreReached, "revision", revision)
 }
 
 // listAll lists all prefixes and replaces the contents of the replica.
@@ -156,6 +156,9 @@
 		if err != nil {
 			return err
 		}
+		if at != 0 && revision.Era() != at.Era() {
+			return fmt.Errorf("list %s: %w", prefix, store.ErrRestored)
+		}
 		if at == 0 || revision < at {
 			at = revision
 		}
@@ -179,6 +182,9 @@
 		if at == 0 {
 			at = page.Revision
 		}
+		if page.Revision.Era() != at.Era() {
+			return nil, 0, fmt.Errorf("list %s: %w", prefix, store.ErrRestored)
+		}
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			return items, at, nil
@@ -203,10 +209,18 @@
 	f.watching = true
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	changes, err := f.o.Store.Watch(ctx, "", f.o.Target.Revision(), wait)
+	since := f.o.Target.Revision()
+	changes, err := f.o.Store.Watch(ctx, "", since, wait)
 	if err != nil {
 		return err
 	}
+	switch era := changes.Revision.Era(); {
+	case era > since.Era():
+		// The store counts on from an older copy, so that changes below the revision may be missing.
+		return fmt.Errorf("watch from %s: %w", since, store.ErrRestored)
+	case era < since.Era():
+		return fmt.Errorf("watch from %s: answer of era %d", since, era)
+	}
 	f.o.OnAnswer()
 	f.o.Target.Apply(changes.List, changes.Revision)
 	if len(changes.List) > 0 || wait == firstWatchWait {
--- a/core/mirror/replica.go
+++ b/core/mirror/replica.go
@@ -46,6 +46,8 @@
 	entries    map[string]entry
 	tombstones int
 	revision   store.Revision
+	// era is the latest era of the store of which the replica has a change or a listing.
+	era store.Era
 	// prunedUpTo is the highest revision of a removed key that is no longer kept.
 	prunedUpTo store.Revision
 }
@@ -66,10 +68,15 @@
 }
 
 // Apply applies changes that complete the replica up to a revision, and returns those that were new and whose values are
-// known.
+// known. Changes of an earlier era than the latest known one are ignored: what still exists of them is listed in that one.
 func (r *Replica) Apply(list []store.Change, upTo store.Revision) []store.Change {
 	var applied []store.Change
+	r.era = max(r.era, upTo.Era())
 	for _, c := range list {
+		if c.Modified.Era() < r.era {
+			continue
+		}
+		r.era = c.Modified.Era()
 		old, known := r.entries[c.Key]
 		if known && !supersedes(c, old) {
 			continue
@@ -91,6 +98,7 @@
 // Reset applies a full listing of one prefix that was started at a revision, and returns the changes that were new. Known
 // keys that the listing lacks have been removed, unless they changed after that revision.
 func (r *Replica) Reset(prefix string, items []store.Item, at store.Revision) []store.Change {
+	r.era = max(r.era, at.Era())
 	present := make(map[string]bool, len(items))
 	list := make([]store.Change, 0, len(items))
 	for _, i := range items {
--- a/core/ratelimit/limiter_test.go
+++ b/core/ratelimit/limiter_test.go
@@ -82,7 +82,7 @@
 		for i := range 5000 {
 			l.Record(ids.VM(fmt.Sprint(i)), "pool", named(0), start.Add(time.Duration(i)*time.Millisecond))
 		}
-		Expect(len(l.Reports(start.Add(5*time.Second)))).To(BeNumerically("<=", 4096))
+		Expect(len(l.Reports(start.Add(5 * time.Second)))).To(BeNumerically("<=", 4096))
 		Expect(l.Delay("4999", start.Add(5*time.Second))).To(Equal(ratelimit.Never))
 	})
 	// Guards against routers whose parts of a limit add up to more than it, because each knows only what the others had announced.
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -12,11 +12,12 @@
 	"time"
 )
 
-// Revision counts the changes of the store and only rises. Zero is before the first change.
-type Revision uint64
-
-// Lease identifies a lease. Keys bound to it are removed when it ends. Zero means no lease.
-type Lease uint64
+// Lease identifies a lease. Keys bound to it are removed when it ends. The zero value means no lease.
+type Lease struct {
+	ID uint64
+	// Era is the era in which the lease was granted. In a later one the lease may be gone, and its ID may be another's.
+	Era Era
+}
 
 // Item is one key with its value.
 type Item struct {
@@ -59,8 +60,8 @@
 	Watch(ctx context.Context, prefix string, since Revision, wait time.Duration) (Changes, error)
 	// Grant opens a lease with the requested time to live, and returns it with the time to live that was granted.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error)
-	// KeepAlive renews a lease. It returns ErrLeaseEnded if the lease has ended.
-	KeepAlive(ctx context.Context, l Lease) error
+	// KeepAlive renews a lease, and returns the era in which the store did so. It returns ErrLeaseEnded if the lease has ended.
+	KeepAlive(ctx context.Context, l Lease) (Era, error)
 	// Revoke ends a lease.
 	Revoke(ctx context.Context, l Lease) error
 	// Put writes a key unconditionally and binds it to a lease.
--- a/router/direct/copier_test.go
+++ b/router/direct/copier_test.go
@@ -83,7 +83,7 @@
 	c.stream = &stream{exchange: x, model: x.engineModel(), placementReq: x.placementRequest(), failedDomains: map[ids.FailureDomain]bool{}}
 	hosts := map[ids.VM]string{"source": source.Listener.Addr().String(), "first": "first", "x": "x", "y": "y"}
 	for id, address := range hosts {
-		st.fleet.Put(fleet.Entry{ID: id, Service: "pool", Address: address, Domain: ids.FailureDomain(id), Slots: 4})
+		st.fleet.Put(fleet.Entry{ID: id, Service: "pool", Address: address, Domain: ids.FailureDomain(id), Slots: 4}, 0, time.Now())
 	}
 	r := &run{upstream: c.host("source"), reservation: st.picker.Reserve("source", c.placementReq, "first")}
 	first := c.host("first")
@@ -111,7 +111,7 @@
 	e.Draining = draining
 	c.state.mu.Lock()
 	defer c.state.mu.Unlock()
-	c.fleet.Put(e)
+	c.fleet.Put(e, 0, time.Now())
 }
 
 // nextOrder returns the next order, for which it lets the time pass that is left until a copy is refreshed.
--- a/router/direct/exchange_log.go
+++ b/router/direct/exchange_log.go
@@ -35,7 +35,7 @@
 	elapsed := x.clock.Since(x.arrivedAt)
 	x.log.Write(event.RequestEnded, append([]any{
 		"request", x.req.ID, "workspace", x.workspace, "route", x.route.Name,
-		"status", status, "took", elapsed.String(), "attempts", x.attempts, "config_version", x.configVersion(),
+		"status", status, "took", elapsed.String(), "attempts", x.attempts, "config_version", uint64(x.configVersion()),
 	}, args...)...)
 	x.metrics.Histogram("request_ms", "service", string(x.service.Name), "workspace", string(x.workspace)).
 		Update(elapsed.Milliseconds())
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -240,7 +240,7 @@
 	}
 	x.log.Write(event.RequestRefused, "request", x.req.ID, "workspace", x.workspace, "route", x.route.Name,
 		"number", f.Kind.Number, "status", f.Kind.Status, "detail", f.Detail, "attempts", x.attempts, "may_have_run", x.mayHaveRun,
-		"held", x.clock.Since(x.arrivedAt).String(), "config_version", x.configVersion())
+		"held", x.clock.Since(x.arrivedAt).String(), "config_version", uint64(x.configVersion()))
 	x.metrics.Counter("requests_refused", "code", string(f.Kind.Code)).Inc(1)
 	x.dialect.Refuse(x.w.Header(), x.req, f.Kind.RetryAfter)
 	x.w.Header().Set("Content-Type", "application/json")
@@ -248,15 +248,6 @@
 	_, _ = io.WriteString(x.w, `{"code":"`+string(f.Kind.Code)+`","number":"`+f.Kind.Number+`"}`)
 }
 
-// configVersion returns the version of the active configuration, or zero if there is none.
-func (x *exchange) configVersion() uint64 {
-	cfg := x.config.Load()
-	if cfg == nil {
-		return 0
-	}
-	return uint64(cfg.Version)
-}
-
 // copyHeader copies an upstream's response header to the caller's, except for the headers of the connection. It suppresses
 // the Date and Content-Type headers that net/http would add if the upstream sent none.
 func (x *exchange) copyHeader(resp *http.Response) {
--- a/router/direct/place_bench_test.go
+++ b/router/direct/place_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
@@ -19,7 +20,7 @@
 		st.fleet.Put(fleet.Entry{
 			ID: ids.VM(fmt.Sprintf("i-%08x", i)), Service: "pool", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
 			Domain: ids.FailureDomain(fmt.Sprint("d", i%5)), Slots: 16,
-		})
+		}, 0, time.Now())
 	}
 	for i := range routers {
 		work := map[ids.VM]placement.Work{}
--- a/router/direct/router_entry.go
+++ b/router/direct/router_entry.go
@@ -32,12 +32,12 @@
 	var e routerEntry
 	if !c.Removed {
 		if err := json.Unmarshal(c.Value, &e); err != nil {
-			a.opts.Log.Write(event.EntryUnreadable, "key", c.Key, "error", err.Error(), "store_revision", uint64(c.Modified))
+			a.opts.Log.Write(event.EntryUnreadable, "key", c.Key, "error", err.Error(), "store_revision", c.Modified)
 			return
 		}
 	}
 	a.broadcaster.SetListed(vm, e.Address)
-	a.opts.Log.Write(event.PeerChanged, "router", vm, "address", e.Address, "listed", !c.Removed, "store_revision", uint64(c.Modified))
+	a.opts.Log.Write(event.PeerChanged, "router", vm, "address", e.Address, "listed", !c.Removed, "store_revision", c.Modified)
 }
 
 // maintainEntry keeps this router's entry in the store and removes it when ctx is done.
@@ -53,7 +53,7 @@
 		case <-a.opts.Clock.After(entryRenewal):
 		}
 	}
-	if lease == 0 {
+	if lease.ID == 0 || lease.Era != a.state.storeEra() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), entryRevokeTimeout)
@@ -67,12 +67,13 @@
 func (a *App) renewEntry(ctx context.Context, lease *store.Lease) error {
 	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
 	defer cancel()
-	if *lease != 0 {
-		err := a.opts.Store.KeepAlive(ctx, *lease)
-		if !errors.Is(err, store.ErrLeaseEnded) {
+	if lease.ID != 0 {
+		era, err := a.opts.Store.KeepAlive(ctx, *lease)
+		ended := errors.Is(err, store.ErrLeaseEnded) || err == nil && era != lease.Era
+		if !ended {
 			return err
 		}
-		*lease = 0
+		*lease = store.Lease{}
 	}
 	l, _, err := a.opts.Store.Grant(ctx, max(entryLease, time.Duration(a.cfg.Store.LeaseMinimumMs)*time.Millisecond))
 	if err != nil {
--- a/router/direct/startup.go
+++ b/router/direct/startup.go
@@ -48,7 +48,7 @@
 		wait = min(wait, maxWait/startupWaitDivisor)
 	}
 	x.log.Write(event.RequestWaiting, "request", x.req.ID, "patience", x.req.MaxWait.String(), "at_most", wait.String(), "reason", reason,
-		"config_version", x.configVersion())
+		"config_version", uint64(x.configVersion()))
 	return clockwork.WithTimeout(x.r.Context(), x.clock, wait)
 }
 
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -71,6 +71,8 @@
 	// recorded lately, for the other routers.
 	promptEngines   *placement.PrefixIndex
 	recordedPrompts promptLog
+	// era is the latest era of the store of which there is a change.
+	era store.Era
 	// addressReuse is how long the address of an ended upstream is not given to another service.
 	addressReuse time.Duration
 	// renamed holds the upstreams whose addresses recently answered with another ID.
@@ -108,90 +110,6 @@
 // minRouters is the number of routers that is assumed while fewer are known.
 const minRouters = 4
 
-// applyChanges applies changes of the store. Configurations are applied last, so that their upstreams are known when they
-// become active.
-func (st *state) applyChanges(changes []store.Change) {
-	var config []store.Change
-	for _, c := range changes {
-		switch {
-		case c.Key == st.decode.Layout.Config:
-			config = append(config, c)
-		case hasPrefix(c.Key, st.decode.Layout.Upstreams):
-			st.applyUpstream(c)
-		case hasPrefix(c.Key, st.decode.Layout.Routers):
-			st.applyRouter(c)
-		}
-	}
-	for _, c := range config {
-		st.applyConfig(c)
-	}
-}
-
-// applyConfig activates a configuration unless it is older than the active one.
-func (st *state) applyConfig(c store.Change) {
-	if c.Removed {
-		return
-	}
-	cfg, err := st.decode.Config(c.Value)
-	if err != nil {
-		st.log.Write(event.ConfigUnreadable, "store_revision", uint64(c.Modified), "error", err.Error())
-		return
-	}
-	if old := st.config.Load(); old != nil && old.Version >= cfg.Version {
-		return
-	}
-	if st.config.Swap(cfg) == nil {
-		close(st.configured)
-	}
-	st.mu.Lock()
-	close(st.activation)
-	st.activation = make(chan struct{})
-	st.mu.Unlock()
-	st.metrics.Gauge("config_version").Update(int64(cfg.Version))
-	st.log.Write(event.ConfigActivated, "version", uint64(cfg.Version), "store_revision", uint64(c.Modified))
-}
-
-// nextActivation returns a channel that is closed when the next configuration becomes active.
-func (st *state) nextActivation() <-chan struct{} {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	return st.activation
-}
-
-// applyUpstream applies a change of an upstream's entry.
-func (st *state) applyUpstream(c store.Change) {
-	now := st.clock.Now()
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.updateStoreReachable(now)
-	if c.Removed {
-		id := ids.VM(c.Key[len(st.decode.Layout.Upstreams):])
-		st.fleet.Remove(id, now)
-		st.picker.Forget(id)
-		st.calls.Forget(id)
-		st.rateLimits.Forget(id)
-		st.log.Write(event.UpstreamChanged, "upstream", id, "state", "entry removed", "store_revision", uint64(c.Modified))
-		return
-	}
-	e, err := st.decode.Upstream(c.Key, c.Value)
-	if err != nil {
-		st.log.Write(event.EntryUnreadable, "key", c.Key, "error", err.Error(), "store_revision", uint64(c.Modified))
-		return
-	}
-	old, known := st.fleet.Get(e.ID)
-	st.fleet.Put(e)
-	if !known || old.Started != e.Started {
-		// Connections to the previous upstream at the address may look open if it ended without closing them.
-		st.pool.CloseIdle(e.Address)
-		st.rateLimits.Forget(e.ID)
-	}
-	if known && old.Entry == e {
-		return
-	}
-	st.log.Write(event.UpstreamChanged, "upstream", e.ID, "service", e.Service, "address", e.Address,
-		"failure_domain", e.Domain, "draining", e.Draining, "started", e.Started, "store_revision", uint64(c.Modified))
-}
-
 // storeAnswered records that the store has answered this router.
 func (st *state) storeAnswered() {
 	st.mu.Lock()
@@ -249,6 +167,9 @@
 	for _, id := range st.fleet.Expire(now) {
 		st.log.Write(event.UpstreamChanged, "upstream", id, "state", "not registered again after store outage")
 	}
+	for _, e := range st.fleet.AdmitReturned(now) {
+		st.log.Write(event.UpstreamChanged, "upstream", e.ID, "service", e.Service, "address", e.Address, "state", "stays registered after store return")
+	}
 	st.logLimits(st.rateLimits.Expire(now), "")
 	st.pool.CloseExpired()
 }
@@ -263,5 +184,3 @@
 	}
 	return ok
 }
-
-func hasPrefix(key, prefix string) bool { return len(key) > len(prefix) && key[:len(prefix)] == prefix }
--- a/router/direct/testrouter_test.go
+++ b/router/direct/testrouter_test.go
@@ -159,7 +159,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, u := range list {
-		r.fleet.Put(fleet.Entry{ID: ids.VM(u.address), Service: service, Address: u.address, Domain: "north", Slots: 4})
+		r.fleet.Put(fleet.Entry{ID: ids.VM(u.address), Service: service, Address: u.address, Domain: "north", Slots: 4}, 0, time.Now())
 	}
 }
 
--- a/router/gossip/bulk.go
+++ b/router/gossip/bulk.go
@@ -58,10 +58,10 @@
 	b.merge(func(now time.Time) []store.Change { return b.node.PullDone(p.From, page, now) })
 	wake(b.bulkDue)
 	if err != nil {
-		b.o.Log.Write(event.PullFailed, "router", p.From, "since", uint64(p.Since), "timeout", p.Timeout.String(), "error", err.Error())
+		b.o.Log.Write(event.PullFailed, "router", p.From, "since", p.Since, "timeout", p.Timeout.String(), "error", err.Error())
 		return
 	}
-	b.o.Log.Write(event.ChangesPulled, "router", p.From, "since", uint64(p.Since), "up_to", uint64(page.UpTo),
+	b.o.Log.Write(event.ChangesPulled, "router", p.From, "since", p.Since, "up_to", page.UpTo,
 		"changes", len(page.List), "more", page.More, "snapshot", page.Snapshot, "retry_after", page.RetryAfter.String())
 }
 
@@ -91,7 +91,7 @@
 	}
 	b.mu.Unlock()
 	if err != nil {
-		b.o.Log.Write(event.PullFailed, "router", f.From, "value", uint64(f.Revision), "offset", f.Offset, "timeout", f.Timeout.String(),
+		b.o.Log.Write(event.PullFailed, "router", f.From, "value", f.Revision, "offset", f.Offset, "timeout", f.Timeout.String(),
 			"error", err.Error())
 	}
 	if complete {
@@ -106,10 +106,10 @@
 		b.mu.Lock()
 		b.node.FetchFailed(f.From, b.o.Clock.Now())
 		b.mu.Unlock()
-		b.o.Log.Write(event.PullFailed, "router", f.From, "value", uint64(c.Revision), "base", uint64(c.Base), "error", err.Error())
+		b.o.Log.Write(event.PullFailed, "router", f.From, "value", c.Revision, "base", c.Base, "error", err.Error())
 		return
 	}
-	b.o.Log.Write(event.ValueFetched, "router", f.From, "value", uint64(c.Revision), "base", uint64(c.Base), "bytes", len(value),
+	b.o.Log.Write(event.ValueFetched, "router", f.From, "value", c.Revision, "base", c.Base, "bytes", len(value),
 		"transferred", c.EncodedSize)
 	b.o.Metrics.Histogram("value_transferred_bytes").Update(int64(c.EncodedSize))
 	b.resolve(store.Item{Key: b.o.ValueKey, Value: value, Modified: c.Revision})
@@ -124,10 +124,10 @@
 		b.mu.Unlock()
 	}()
 	if err != nil {
-		b.o.Log.Write(event.StoreFailed, "call", "read value", "value", uint64(f.Revision), "error", err.Error())
+		b.o.Log.Write(event.StoreFailed, "call", "read value", "value", f.Revision, "error", err.Error())
 		return
 	}
-	b.o.Log.Write(event.ValueFetched, "router", "store", "value", uint64(item.Modified), "bytes", len(item.Value))
+	b.o.Log.Write(event.ValueFetched, "router", "store", "value", item.Modified, "bytes", len(item.Value))
 	b.resolve(item)
 }
 
