An upstream that says in its answers that it is leaving gets no new requests

A leaving upstream whose entry in the store says otherwise, or nothing, got requests until it was gone. What an answer says now counts like a draining entry, is shared with the state updates, and holds for that start of the upstream, also if its entry goes and comes back.

--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -112,6 +112,13 @@
 	if !known && d.holdBack(e, era, now) {
 		return false
 	}
+	if gone, left := d.departed[e.ID]; left && gone.Started == e.Started {
+		e.Draining = e.Draining || gone.Draining
+	}
+	// An upstream that leaves does not come back with the same start, which is unknown for one that was found at its address.
+	if known && old.Address == e.Address && (old.Started == e.Started || old.Started == 0) {
+		e.Draining = e.Draining || old.Draining
+	}
 	delete(d.departed, e.ID)
 	delete(d.returned, e.ID)
 	if at, taken := d.byAddress[e.Address]; taken && at != e.ID {
@@ -123,8 +130,6 @@
 		return true
 	}
 	d.changed()
-	// An upstream that leaves does not come back with the same start.
-	e.Draining = e.Draining || old.Draining
 	old.Entry, old.era = e, era
 	old.missingSince = time.Time{}
 	return true
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -90,6 +90,8 @@
 	Signed bool
 	Load   Load
 	Limit  RateLimit
+	// Leaving is set if the upstream is leaving and wants no new requests.
+	Leaving bool
 }
 
 // RateLimit is the number of requests a second that an upstream takes from all routers together.
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -75,6 +75,8 @@
 	era store.Era
 	// addressReuse is how long the address of an ended upstream is not given to another service.
 	addressReuse time.Duration
+	// leaving holds the upstreams that have said lately that they are leaving.
+	leaving []leavingUpstream
 	// renamed holds the upstreams whose addresses recently answered with another ID.
 	renamed []renamedUpstream
 	// peers tracks which other routers serve and which are stopping.
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"time"
 
 	"bilberrylug.dev/core/event"
@@ -17,6 +18,9 @@
 	if r.Misdirected || r.Upstream != "" && r.Upstream != u.ID {
 		return
 	}
+	if r.Leaving {
+		st.markLeaving(u.ID, u.Started, u.ID)
+	}
 	if r.Limit.Unreadable {
 		return
 	}
@@ -52,3 +56,37 @@
 	}
 	st.logLimits(st.rateLimits.Merge(known, now), ids.VM(n.GetSender()))
 }
+
+// leavingUpstream is an upstream that has said that it is leaving.
+type leavingUpstream struct {
+	id      ids.VM
+	started int64
+	at      time.Time
+}
+
+// markLeaving records that an upstream has said that it is leaving.
+func (st *state) markLeaving(id ids.VM, started int64, toldBy ids.VM) {
+	now := st.clock.Now()
+	news := locked(&st.mu, func() bool {
+		news := st.fleet.MarkLeaving(id, started)
+		if news {
+			st.leaving = append(st.leaving, leavingUpstream{id, started, now})
+		}
+		return news
+	})
+	if !news {
+		return
+	}
+	st.log.Write(event.Draining, "upstream", id, "started", started, "told_by", toldBy)
+	st.broadcastSoon()
+}
+
+// leavingReports returns the upstreams that have said lately that they are leaving. The caller must hold st.mu.
+func (st *state) leavingReports(now time.Time) []*wire.LeavingUpstream {
+	st.leaving = slices.DeleteFunc(st.leaving, func(l leavingUpstream) bool { return now.Sub(l.at) > identityBroadcastTime })
+	var out []*wire.LeavingUpstream
+	for _, l := range st.leaving {
+		out = append(out, &wire.LeavingUpstream{Upstream: string(l.id), Started: l.started})
+	}
+	return out
+}
--- a/router/direct/updates.go
+++ b/router/direct/updates.go
@@ -74,6 +74,7 @@
 			DemandMilli: wireconv.DemandToWire(st.rateLimits.Announce(service, now)),
 		})
 	}
+	n.LeavingUpstreams = st.leavingReports(now)
 	n.Limits = wireconv.LimitsToWire(st.rateLimits.Reports(now))
 	n.Quarantine = wireconv.QuarantineToWire(st.quarantine.Report(now))
 	st.renamed = slices.DeleteFunc(st.renamed, func(r renamedUpstream) bool { return now.Sub(r.renamedAt) > identityBroadcastTime })
@@ -112,6 +113,9 @@
 	st.applyQuarantine(locked(&st.mu, func() []quarantine.Change {
 		return st.quarantine.Merge(ids.VM(n.GetSender()), report, st.clock.Now())
 	}))
+	for _, l := range n.GetLeavingUpstreams() {
+		st.markLeaving(ids.VM(l.GetUpstream()), l.GetStarted(), ids.VM(n.GetSender()))
+	}
 	for _, id := range n.GetReplaced() {
 		st.dropReplaced(ids.VM(id), ids.VM(n.GetSender()))
 	}
