--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -37,6 +37,7 @@
 	UpstreamFailing     = Kind{"EV3010", slog.LevelWarn, "upstream fails every call", "Check the upstream; it is retried every few seconds."}
 	ProbeUnanswered     = Kind{"EV3011", slog.LevelInfo, "probe of an upstream unanswered", "None, unless it persists. If waited is much longer than timeout, check the router's own VM."}
 	UpstreamLimit       = Kind{"EV3012", slog.LevelInfo, "request rate that an upstream takes changed", "None, unless it persists; check the upstream's load."}
+	UpstreamHeld        = Kind{"EV3013", slog.LevelInfo, "upstream wants no requests from this router for a time", "None, unless it persists; check the upstream's load."}
 	AttemptStarted      = Kind{"EV4001", slog.LevelDebug, "attempt started", noAction}
 	AttemptLost         = Kind{"EV4002", slog.LevelWarn, "attempt lost", "Check the named upstream; the answer is resumed on another one."}
 	AnswerFailed        = Kind{"EV4003", slog.LevelWarn, "answer ended with a fault", "See the fault's remedy."}
@@ -74,7 +75,7 @@
 var Catalogue = []Kind{
 	Started, Stopping, Stopped, Ready, Reloaded, LinesDropped, SchedulingDelayed, SchedulingRecovered, Panicked,
 	ConfigActivated, ConfigUnreadable, StoreFailed, StoreReached, ChangesPulled, ValueFetched, PullFailed, StoreRestored, ConfigOutdated,
-	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamRecovered, PeerChanged, UpstreamSlow, UpstreamFailing, ProbeUnanswered, UpstreamLimit,
+	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamRecovered, PeerChanged, UpstreamSlow, UpstreamFailing, ProbeUnanswered, UpstreamLimit, UpstreamHeld,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
 	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnded, CopyCreated, CopyFailed, CopyFreed, CopyNotFreed, PromptListFailed, RequestWaiting, PromptsReceived, TimeLimitFailed, CallerClosed, ResumeWaiting,
--- a/core/ratelimit/bucket.go
+++ b/core/ratelimit/bucket.go
@@ -82,18 +82,19 @@
 
 // Delay returns how long a request to an upstream has to wait, or [Never].
 func (l *Limiter) Delay(id ids.VM, now time.Time) time.Duration {
+	held := max(0, l.holds[id].Sub(now))
 	u, known := l.upstreams[id]
 	if !known || !l.refill(id, u, now) {
-		return 0
+		return held
 	}
 	lacking := 1 - u.bucket.TokensAt(now)
 	switch {
 	case lacking <= 0 && u.bucket.rate > 0:
-		return 0
+		return held
 	case u.bucket.rate < minRate:
 		return Never
 	}
-	return time.Duration(lacking / float64(u.bucket.rate) * float64(time.Second))
+	return max(held, time.Duration(lacking/float64(u.bucket.rate)*float64(time.Second)))
 }
 
 // Take charges a request to an upstream that is sent after its delay.
@@ -117,6 +118,7 @@
 
 // Expire forgets the limits that have faded, and returns them as changes.
 func (l *Limiter) Expire(now time.Time) []Change {
+	l.expireHolds(now)
 	var out []Change
 	for id, u := range l.upstreams {
 		age := now.Sub(u.at)
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -87,6 +87,8 @@
 	self      ids.VM
 	upstreams map[ids.VM]*limited
 	services  map[ids.Service]*serviceDemand
+	// holds are the times until which upstreams want nothing from this router.
+	holds map[ids.VM]time.Time
 	// present holds the other routers, interval the longest interval at which they receive state updates.
 	present  map[ids.VM]bool
 	interval time.Duration
@@ -96,6 +98,7 @@
 func New(self ids.VM) *Limiter {
 	return &Limiter{
 		self: self, upstreams: map[ids.VM]*limited{}, services: map[ids.Service]*serviceDemand{}, present: map[ids.VM]bool{},
+		holds: map[ids.VM]time.Time{},
 	}
 }
 
@@ -170,4 +173,7 @@
 }
 
 // Forget forgets an upstream that no longer exists or has started anew.
-func (l *Limiter) Forget(id ids.VM) { delete(l.upstreams, id) }
+func (l *Limiter) Forget(id ids.VM) {
+	delete(l.upstreams, id)
+	delete(l.holds, id)
+}
--- a/core/relay/request.go
+++ b/core/relay/request.go
@@ -92,6 +92,8 @@
 	Limit  RateLimit
 	// Leaving is set if the upstream is leaving and wants no new requests.
 	Leaving bool
+	// RetryAfter is how long the upstream wants nothing from this router.
+	RetryAfter time.Duration
 }
 
 // RateLimit is the number of requests a second that an upstream takes from all routers together.
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -21,6 +21,9 @@
 	if r.Leaving {
 		st.markLeaving(u.ID, u.Started, u.ID)
 	}
+	if r.RetryAfter > 0 {
+		st.hold(u, r.RetryAfter)
+	}
 	if r.Limit.Unreadable {
 		return
 	}
@@ -38,6 +41,14 @@
 	}
 }
 
+// hold sends nothing more to an upstream for as long as it has asked for.
+func (st *state) hold(u fleet.Upstream, d time.Duration) {
+	now := st.clock.Now()
+	if locked(&st.mu, func() bool { return st.rateLimits.Hold(u.ID, now.Add(d), now) }) {
+		st.log.Write(event.UpstreamHeld, "upstream", u.ID, "retry_after", d.String())
+	}
+}
+
 func (st *state) logLimits(changes []ratelimit.Change, toldBy ids.VM) {
 	for _, c := range changes {
 		st.log.Write(event.UpstreamLimit, append(c.LogFields(), "told_by", toldBy)...)
