A run that goes on with a stream adds nothing to it but events

A stream had begun and broken off, and the next upstream answered 200 with a text that is no event: it stood in the middle of the caller's stream, which ended as if it were complete. Such a run now ends with an error.

--- a/core/sse/reader.go
+++ b/core/sse/reader.go
@@ -28,6 +28,8 @@
 	// ID is the event's numeric ID, if HasID is set.
 	ID    uint64
 	HasID bool
+	// Foreign is set if Raw holds text that is neither an event nor a comment.
+	Foreign bool
 }
 
 // ErrTruncated is returned when the stream ends in the middle of an event.
@@ -57,7 +59,7 @@
 	e := Event{}
 	// continued is set while the rest of a line is read that is longer than the buffer. isEvent is set once there is data or an
 	// ID, blockEnded after a blank line.
-	var continued, isEvent, blockEnded bool
+	var continued, isEvent, blockEnded, hasText bool
 	for {
 		line, err := r.br.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
@@ -78,6 +80,11 @@
 			e.Raw = r.raw
 			return e, nil
 		}
+		if blockEnded {
+			e.Foreign = e.Foreign || hasText
+			hasText = false
+		}
+		hasText = hasText || !continued && len(line) > 0 && line[0] != ':'
 		if !continued {
 			isEvent = e.readField(line) || isEvent
 		}
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -114,6 +114,9 @@
 
 // observe records an event of a run. It returns an error if the run does not go on in order.
 func (s *stream) observe(r *run, e sse.Event) error {
+	if r.joins && (e.Foreign || !e.HasID && !e.Trailing && s.resumes) {
+		return errForeignText
+	}
 	if err := r.observeID(e); err != nil {
 		return err
 	}
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -40,6 +40,8 @@
 	delay  time.Duration
 	charge ratelimit.Charge
 	stall  stallDetector
+	// joins is set if the run goes on with an answer that another run has begun.
+	joins bool
 	// answering is set once the upstream has begun its answer.
 	answering bool
 	// lastID is the ID of the last event that the upstream sent, if hasID is set.
@@ -65,6 +67,9 @@
 // errRepeats ends a run whose upstream sends an event again, which is no progress.
 var errRepeats = errors.New("the upstream repeats an event")
 
+// errForeignText ends a run that goes on with a stream of events but sends something else.
+var errForeignText = errors.New("the upstream sends text that is no event")
+
 var errNoUpstream = errors.New("no upstream is available")
 
 // runOnce places the generation on an upstream and runs it there. A nil error means that the caller has the final answer.
