A refusal that names no request is not believed on a connection that has carried others

An upstream that writes an earlier refusal once more, without its id, made a call that it ran look refused: the caller was told that it has not run, or it ran twice.

--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -177,6 +177,9 @@
 		return nil, cause(ctx, err)
 	}
 	reply := x.dialect.Reply(resp)
+	if unattributed(reply, conn) {
+		return nil, errUnattributed
+	}
 	x.recordStatements(u, reply)
 	x.mu.Lock()
 	if !reply.Misdirected {
@@ -210,6 +213,14 @@
 	return &answer{resp, body}, nil
 }
 
+// errUnattributed ends an attempt whose upstream may have written a refusal of an earlier request once more.
+var errUnattributed = errors.New("a refusal without a request id on a reused connection")
+
+// unattributed reports whether a reply asserts that a request has not run without saying which one, on a connection that has carried others.
+func unattributed(r relay.Reply, conn connection) bool {
+	return r.NotRun && r.Request == "" && conn.Reused()
+}
+
 // recordOutcome records whether an upstream answered an attempt, and probes it if it did not.
 func (x *exchange) recordOutcome(u fleet.Upstream, a *answer, err error) {
 	if errors.Is(err, errNotRun) || errors.Is(err, errAddressReused) || x.callerGone() {
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -38,6 +38,9 @@
 		return cause(s.ctx, err)
 	}
 	reply := s.dialect.Reply(resp)
+	if unattributed(reply, conn) {
+		return errUnattributed
+	}
 	s.recordStatements(r.upstream, reply)
 	if reply.NotRun {
 		s.mayHaveRun = mayHaveRunBefore
