--- a/core/sse/reader.go
+++ b/core/sse/reader.go
@@ -80,11 +80,8 @@
 			e.Raw = r.raw
 			return e, nil
 		}
-		if blockEnded {
-			e.Foreign = e.Foreign || hasText
-			hasText = false
-		}
-		hasText = hasText || !continued && len(line) > 0 && line[0] != ':'
+		e.Foreign = e.Foreign || blockEnded && hasText
+		hasText = !blockEnded && (hasText || !continued && isText(line))
 		if !continued {
 			isEvent = e.readField(line) || isEvent
 		}
@@ -92,6 +89,9 @@
 	}
 }
 
+// isText reports whether a line is neither empty nor a comment.
+func isText(line []byte) bool { return len(line) > 0 && line[0] != ':' }
+
 // readField reads a line, and reports whether it is data or an ID.
 func (e *Event) readField(line []byte) bool {
 	name, value, _ := bytes.Cut(line, []byte(":"))
