--- a/core/sse/reader.go
+++ b/core/sse/reader.go
@@ -68,11 +68,7 @@
 		}
 		partial := errors.Is(err, bufio.ErrBufferFull)
 		if err != nil && !partial {
-			if errors.Is(err, io.EOF) && blockEnded && len(line) == 0 {
-				e.Raw, e.Trailing = r.raw, true
-				return e, nil
-			}
-			return Event{}, r.endError(err)
+			return r.end(e, err, blockEnded && len(line) == 0)
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		blockEnded = !continued && !partial && len(line) == 0
@@ -106,9 +102,14 @@
 	return false
 }
 
-func (r *Reader) endError(err error) error {
-	if errors.Is(err, io.EOF) && len(r.raw) > 0 {
-		return ErrTruncated
+// end returns what is left at the end of the stream, which may lie between two blocks.
+func (r *Reader) end(e Event, err error, between bool) (Event, error) {
+	switch {
+	case !errors.Is(err, io.EOF) || len(r.raw) == 0:
+		return Event{}, err
+	case between:
+		e.Raw, e.Trailing = r.raw, true
+		return e, nil
 	}
-	return err
+	return Event{}, ErrTruncated
 }
