An upstream that was leaving stays so when an older copy of the store brings its entry back

After five seconds the entry counted as that of a present upstream, and what it had said of its leaving was forgotten. Found by reading the change; the new spec fails without it.

--- a/core/fleet/restored.go
+++ b/core/fleet/restored.go
@@ -74,9 +74,11 @@
 		if now.Sub(r.at) < returnDelay {
 			continue
 		}
+		e, gone := r.Entry, d.departed[id]
+		e.Draining = e.Draining || gone.Draining && gone.Started == e.Started
 		delete(d.departed, id)
-		if d.Put(r.Entry, r.era, now) {
-			out = append(out, r.Entry)
+		if d.Put(e, r.era, now) {
+			out = append(out, e)
 		}
 	}
 	return out
--- a/core/fleet/restored_test.go
+++ b/core/fleet/restored_test.go
@@ -40,6 +40,15 @@
 		Expect(d.Put(numbered(6, false), 3, at(7600))).To(BeTrue())
 		Expect(usable(d)).To(HaveLen(1))
 	})
+	It("does not offer an upstream that was leaving, however long its entry stands", func() {
+		d := withStore(fleet.New(2 * time.Second))
+		d.Put(numbered(5, false), 1, start)
+		Expect(d.MarkLeaving("0", 1)).To(BeTrue())
+		d.Remove("0", at(100))
+		Expect(d.Put(numbered(5, false), 2, at(1000))).To(BeFalse())
+		Expect(d.AdmitReturned(at(6100))).To(HaveLen(1))
+		Expect(usable(d)).To(BeEmpty())
+	})
 	It("does not offer it either once its entry has ended there", func() {
 		d := withStore(fleet.New(2 * time.Second))
 		d.Put(numbered(5, false), 1, start)
