--- a/router/direct/misled_test.go
+++ b/router/direct/misled_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -61,6 +62,18 @@
 		Entry("with its id", refusal),
 		Entry("without an id", func(string) string { return refusal("") }),
 	)
+	// Guards against a refusal that is not believed because a probe had opened its connection.
+	It("is believed without an id on a connection that has carried no request yet", func() {
+		r := newTestRouter(0)
+		full := newRawUpstream(func(w net.Conn, req *http.Request) { text(refusal(""))(w, req) })
+		r.register("desk", full)
+		for range maxRefusals {
+			conn, err := r.pool.Dial(context.Background(), full.address)
+			Expect(err).NotTo(HaveOccurred())
+			r.pool.Put(conn)
+		}
+		Expect(r.send(http.MethodPost, "/slip/a").status).To(Equal(http.StatusServiceUnavailable))
+	})
 	It("does not make a call that it runs look refused because the refusal names no request", func() {
 		r := newTestRouter(0)
 		var calls atomic.Int64
--- a/router/upstream/conn.go
+++ b/router/upstream/conn.go
@@ -23,6 +23,8 @@
 	idleTimeout time.Duration
 	idleSince   time.Time
 	reused      bool
+	// carried is set once a request has been sent on the connection.
+	carried bool
 	// noReuse excludes the connection from carrying another request.
 	noReuse bool
 	// lastID is the ID of the request that the connection carried last.
--- a/router/upstream/pool.go
+++ b/router/upstream/pool.go
@@ -74,7 +74,7 @@
 			return p.Dial(ctx, address)
 		}
 		if c.usable(p.clock.Now()) {
-			c.reused = true
+			c.reused = c.carried
 			return c, nil
 		}
 		c.Close()
--- a/router/upstream/request.go
+++ b/router/upstream/request.go
@@ -50,6 +50,7 @@
 	if err := c.SetWriteDeadline(c.pool.clock.Now().Add(writeTimeout)); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	c.carried = true
 	if err := c.write(req); err != nil {
 		return nil, fmt.Errorf("send request: %w", err)
 	}
