--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases into target/, beside the router that the deploy file builds.
+set -euo pipefail
+cd "$(dirname "$0")/standin"
+GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review-standin .
