--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,8 @@
 
 var cases = map[string]func(*scenario) (broken int, err error){
 	"reused-address": reusedAddress,
+	"stale-config":   staleConfig,
+	"foreign-memory": foreignMemory,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -53,20 +53,23 @@
 		}
 	}}
 	go func() { _ = r.server.Serve(ln) }()
-	go func() {
-		for seq := 1; ; seq++ {
-			r.register(seq)
-			select {
-			case <-r.dead:
-				time.AfterFunc(lapse, func() { r.store.remove("servers/" + r.id) })
-				return
-			case <-time.After(heartbeat):
-			}
-		}
-	}()
+	go r.heartbeats()
 	return nil
 }
 
+// heartbeats registers the runner until it ends. The platform removes its entry after lapse.
+func (r *runner) heartbeats() {
+	for seq := 1; ; seq++ {
+		r.register(seq)
+		select {
+		case <-r.dead:
+			time.AfterFunc(lapse, func() { r.store.remove("servers/" + r.id) })
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
 func (r *runner) register(seq int) {
 	value, _ := json.Marshal(map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready", "cold-left-ms": 0,
