Review, case 3: a router never learns that a runner is gone

Cause: a replica that has just been listed knows no keys that were removed before, yet serves the changes after any revision as complete.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(*scenario) (broken int, err error){
 	"reused-address": reusedAddress,
 	"stale-config":   staleConfig,
+	"missed-removal": missedRemoval,
 	"foreign-memory": foreignMemory,
 }
 
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -78,6 +78,12 @@
 	r.store.put("servers/"+r.id, value)
 }
 
+// leave ends the runner's entry, as of one that never reports draining. It goes on serving.
+func (r *runner) leave() {
+	close(r.dead)
+	r.store.remove("servers/" + r.id)
+}
+
 // crash ends the runner: its connections close and it says nothing more.
 func (r *runner) crash() {
 	close(r.dead)
