--- a/review/standin/removal.go
+++ b/review/standin/removal.go
@@ -16,7 +16,7 @@
 	// downTime is how long killed processes are down.
 	downTime = 500 * time.Millisecond
 	// stays is how long the runner goes on serving after the store has removed its entry.
-	stays = 12 * time.Second
+	stays = 6 * time.Second
 	// desks is the number of runners.
 	desks = 12
 )
@@ -105,7 +105,7 @@
 				select {
 				case <-stopClients:
 					return
-				case <-time.After(25 * time.Millisecond):
+				case <-time.After(8 * time.Millisecond):
 				}
 				wg.Add(1)
 				go func() {
