--- a/review/standin/main.go
+++ b/review/standin/main_test.go
@@ -1,14 +1,16 @@
-// Command standin runs one case of the review: it starts the stand-ins of the platform, the runners and the clients in its own
-// process and the project's router as separate processes, and checks one rule.
+// Package standin holds the stand-ins of the review's cases. They are test code, so that they may name the platform's protocol; build.sh
+// makes a program of them, which runs one case: it starts the stand-ins of the platform, the runners and the clients in its own process and
+// the project's router as separate processes, and checks one rule.
 //
-//	standin CASE RECORD
+//	review-standin CASE RECORD
 //
 // It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
-package main
+package standin
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // scenario is what a case works with. trouble is false if the disruption is left out.
@@ -25,11 +27,12 @@
 	"foreign-memory": foreignMemory,
 }
 
-func main() { os.Exit(run()) }
+// TestMain runs the case that the command line names; there are no tests.
+func TestMain(*testing.M) { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
 		return 2
 	}
 	rec, err := newRecord(os.Args[2])
