An upstream's address is not believed to be its own on the word of an answer that was read late

What callers saw: after a router's machine had stood still, payments ran at model runners and at the runners of another service, and got 200 from there.

Cause: an upstream's ID is replaced by the one that its address answers with if the upstream had answered within the reuse time of addresses. That time was taken when the router read the answer. An answer that waits in the socket while the machine stands still, or on a link that is cut, is read after its upstream has ended, and the address may be another service's by then. The steady clock adds to it: it does not count the time for which a machine is suspended.

Change: an upstream is known to have been alive when the last request that it has answered was sent; the clock that ages are taken from counts suspensions. An ID that another router has reported proves nothing about when its upstream was alive here, and an ID is adopted only for the start and address of the upstream that was asked. EV3005 tells how long before that was (alive_before).

Why it works: the answer to a request is given after the request was sent and before it is read, whatever delays it. From the sending to the reading of the next ID is at least the time between the end of the old upstream and the start of the new one.

--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/store"
 )
@@ -26,7 +27,7 @@
 	// suspicionTTL is how long another router's report of a loss is used, unless the upstream answers earlier. An upstream
 	// that has crashed registers its next start within this time.
 	suspicionTTL = 3 * time.Second
-	// adoptMargin allows for the network latency of the last answer and of the probe.
+	// adoptMargin allows for clocks that run at different rates.
 	adoptMargin = 200 * time.Millisecond
 	// outageProbeInterval is the minimum time between probes of one upstream while the store is unreachable: only probes
 	// detect its next start then.
@@ -42,8 +43,10 @@
 	lostAt time.Time
 	// suspectedAt is when another router last reported it unreachable.
 	suspectedAt time.Time
-	// answeredAt is when it last answered a request.
+	// answeredAt is when an answer of it was last read.
 	answeredAt time.Time
+	// aliveAt is the latest time at which it is known to have been alive: when the last request that it has answered was sent.
+	aliveAt boottime.Instant
 	// probedAt is when it was last probed while unavailable.
 	probedAt time.Time
 	// era is that of the store in which the entry was last read.
@@ -224,8 +227,8 @@
 	return out
 }
 
-// AnsweredAt returns when the upstream last answered a request.
-func (u Upstream) AnsweredAt() time.Time { return u.answeredAt }
+// AliveAt returns the latest time at which the upstream is known to have been alive, or zero if it has not answered yet.
+func (u Upstream) AliveAt() boottime.Instant { return u.aliveAt }
 
 // LostAt returns when the upstream was last found unreachable, or zero if it is not lost.
 func (u Upstream) LostAt() time.Time { return u.lostAt }
--- a/core/fleet/directory_test.go
+++ b/core/fleet/directory_test.go
@@ -8,12 +8,16 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
 )
 
 var start = time.Unix(1000, 0)
 
+// sent is when a request that was answered at start was sent.
+const sent = boottime.Instant(time.Minute)
+
 func entry(id string, started int64) fleet.Entry {
 	return fleet.Entry{ID: ids.VM(id), Service: "lug-pool", Address: "10.0.0." + id + ":1", Domain: "teesta", Slots: 64, Started: started}
 }
@@ -108,7 +112,8 @@
 		d.MarkLost("0", 1, start.Add(time.Second))
 		d.MarkLost("1", 1, start.Add(time.Second))
 		later := start.Add(6 * time.Second)
-		d.RecordAnswer("3", start.Add(3*time.Second))
+		u, _ := d.Get("3")
+		d.RecordAnswer(u, 1, start.Add(3*time.Second))
 		suspected := func(id ids.VM) bool { u, _ := d.Get(id); return d.IsSuspected(u, later) }
 		Expect(suspected("2")).To(BeTrue())
 		Expect(suspected("3")).To(BeFalse())
@@ -119,17 +124,58 @@
 		d := withStore(fleet.New(2 * time.Second))
 		d.Put(entry("0", 1), 0, start)
 		d.Put(entry("1", 1), 0, start)
-		d.RecordAnswer("0", start)
-		Expect(d.AdoptID("0", "7", start.Add(2*time.Second), 2*time.Second)).To(BeFalse())
-		Expect(d.AdoptID("1", "8", start, 2*time.Second)).To(BeFalse(), "it has not answered")
+		adopt := func(id, newID ids.VM, after time.Duration) bool {
+			u, _ := d.Get(id)
+			x := fleet.Exchange{Sent: sent + boottime.Instant(after), Read: sent + boottime.Instant(after)}
+			return d.AdoptID(u, newID, x, start.Add(after), 2*time.Second)
+		}
+		u, _ := d.Get("0")
+		d.RecordAnswer(u, sent, start)
+		Expect(adopt("0", "7", 2*time.Second)).To(BeFalse())
+		Expect(adopt("1", "8", 0)).To(BeFalse(), "it has not answered")
 		d.MarkLost("0", 1, start.Add(100*time.Millisecond))
-		Expect(d.AdoptID("0", "7", start.Add(1500*time.Millisecond), 2*time.Second)).To(BeTrue())
+		Expect(adopt("0", "7", 1500*time.Millisecond)).To(BeTrue())
 		Expect(usable(d)).To(Equal([]ids.VM{"1", "7"}))
 		registered := entry("7", 3)
 		registered.Address = entry("0", 1).Address
 		d.Put(registered, 0, start)
 		Expect(usable(d)).To(Equal([]ids.VM{"1", "7"}))
 	})
+	// Guards against requests that another service runs: an answer that was read late does not show that its upstream was alive then.
+	It("does not adopt an ID when the last answer was given long before it was read", func() {
+		d := withStore(fleet.New(2 * time.Second))
+		d.Put(entry("0", 1), 0, start)
+		u, _ := d.Get("0")
+		d.RecordAnswer(u, sent, start)
+		read := sent + boottime.Instant(3*time.Second)
+		Expect(d.AdoptID(u, "7", fleet.Exchange{Sent: read, Read: read}, start, 2*time.Second)).To(BeFalse())
+	})
+	It("counts the time from when the request to the adopted ID was sent", func() {
+		d := withStore(fleet.New(2 * time.Second))
+		d.Put(entry("0", 1), 0, start)
+		at := func(ms int) boottime.Instant { return sent + boottime.Instant(ms)*boottime.Instant(time.Millisecond) }
+		u, _ := d.Get("0")
+		d.RecordAnswer(u, sent, start)
+		Expect(d.AdoptID(u, "7", fleet.Exchange{Sent: at(100), Read: at(1500)}, start, 2*time.Second)).To(BeTrue())
+		u, _ = d.Get("7")
+		Expect(d.AdoptID(u, "8", fleet.Exchange{Sent: at(2100), Read: at(2100)}, start, 2*time.Second)).To(BeFalse())
+	})
+	It("does not adopt the next ID of an upstream that another router has renamed and that has not answered here", func() {
+		d := withStore(fleet.New(2 * time.Second))
+		d.Put(entry("0", 1), 0, start)
+		Expect(d.Rename("0", "7", start)).To(BeTrue())
+		u, _ := d.Get("7")
+		Expect(d.AdoptID(u, "8", fleet.Exchange{Sent: sent, Read: sent}, start, 2*time.Second)).To(BeFalse())
+	})
+	It("does not adopt an ID for another start or address of the upstream than the one that was asked", func() {
+		d := withStore(fleet.New(2 * time.Second))
+		d.Put(entry("0", 1), 0, start)
+		asked, _ := d.Get("0")
+		d.Put(entry("0", 2), 0, start)
+		u, _ := d.Get("0")
+		d.RecordAnswer(u, sent, start)
+		Expect(d.AdoptID(asked, "7", fleet.Exchange{Sent: sent, Read: sent}, start, 2*time.Second)).To(BeFalse())
+	})
 	It("suspects an upstream that another router has lost until it answers, registers a new start, or three seconds have passed", func() {
 		d := withStore(fleet.New(2 * time.Second))
 		d.Put(entry("0", 1), 0, start)
@@ -138,7 +184,8 @@
 		Expect(suspected(2900 * time.Millisecond)).To(BeTrue())
 		Expect(suspected(3100 * time.Millisecond)).To(BeFalse())
 		Expect(d.MarkSuspected("0", 1, start.Add(4*time.Second))).To(BeTrue())
-		d.RecordAnswer("0", start.Add(4100*time.Millisecond))
+		u, _ := d.Get("0")
+		d.RecordAnswer(u, sent, start.Add(4100*time.Millisecond))
 		Expect(suspected(4200 * time.Millisecond)).To(BeFalse())
 		Expect(d.MarkSuspected("0", 1, start.Add(8*time.Second))).To(BeTrue())
 		d.Put(entry("0", 2), 0, start)
--- a/router/direct.go
+++ b/router/direct.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/group"
 	"bilberrylug.dev/core/process"
@@ -37,9 +38,13 @@
 	g := group.NewRecovering(context.Background(), log.Panic)
 	g.Keep(clock, out.Run)
 	defer g.Stop()
+	boot, err := boottime.System()
+	if err != nil {
+		return err
+	}
 	s := platform.NewStore(cfg.Store.Address, upstream.Dial)
 	a, err := direct.New(cfg, direct.Options{
-		Clock: clock, Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial,
+		Clock: clock, BootClock: boot, Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial,
 		Decode: direct.Decoder{Layout: platform.Layout, Config: platform.ParseConfig, Upstream: platform.ParseUpstream},
 	})
 	if err != nil {
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	a, err := direct.New(settings, direct.Options{
-//		Clock: clock, Log: log, Store: store, Dialect: dialect, Decode: decoder, Dial: upstream.Dial,
+//		Clock: clock, BootClock: boot, Log: log, Store: store, Dialect: dialect, Decode: decoder, Dial: upstream.Dial,
 //	})
 //	err = a.Run(ctx) // serves until ctx is done, then shuts down gracefully
 package direct
@@ -22,6 +22,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
 
+	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
@@ -66,12 +67,13 @@
 
 // Options holds the dependencies of an [App].
 type Options struct {
-	Clock   clockwork.Clock
-	Log     *event.Log
-	Store   store.Store
-	Dialect relay.Dialect
-	Decode  Decoder
-	Dial    upstream.DialFunc
+	Clock     clockwork.Clock
+	BootClock boottime.Clock
+	Log       *event.Log
+	Store     store.Store
+	Dialect   relay.Dialect
+	Decode    Decoder
+	Dial      upstream.DialFunc
 }
 
 // App is a router process: its servers, its connections to the store and to other routers, and its background tasks.
--- a/router/direct/availability.go
+++ b/router/direct/availability.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
@@ -103,12 +104,17 @@
 	renamedAt    time.Time
 }
 
-// updateID replaces the ID of an upstream whose address now answers with another one. It drops the upstream if the address
+// updateID replaces the ID of an upstream whose address has answered a request with another one. It drops the upstream if the address
 // may have been reassigned to another service.
-func (st *state) updateID(u fleet.Upstream, newID ids.VM) {
+func (st *state) updateID(u fleet.Upstream, newID ids.VM, sentAt boottime.Instant) {
 	now := st.clock.Now()
+	x := fleet.Exchange{Sent: sentAt, Read: st.boot.Now()}
+	var aliveAt boottime.Instant
 	adopted := locked(&st.mu, func() bool {
-		adopted := st.fleet.AdoptID(u.ID, newID, now, st.addressReuse)
+		if current, known := st.fleet.Get(u.ID); known {
+			aliveAt = current.AliveAt()
+		}
+		adopted := st.fleet.AdoptID(u, newID, x, now, st.addressReuse)
 		r := renamedUpstream{oldID: u.ID, renamedAt: now}
 		if adopted {
 			r.newID = newID
@@ -122,7 +128,7 @@
 		return
 	}
 	st.pool.CloseIdle(u.Address)
-	st.log.Write(event.UpstreamChanged, "upstream", newID, "was", u.ID, "last_answer", now.Sub(u.AnsweredAt()).String())
+	st.log.Write(event.UpstreamChanged, "upstream", newID, "was", u.ID, "alive_before", x.Read.Sub(aliveAt).String())
 	st.broadcastSoon()
 }
 
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -169,6 +169,7 @@
 func (x *exchange) roundTrip(ctx context.Context, conn connection, u fleet.Upstream) (*answer, error) {
 	mayHaveRunBefore := x.mayHaveRun
 	x.mayHaveRun = true
+	sentAt := x.boot.Now()
 	//nolint:bodyclose // The connection owns the body: Release or Close ends it.
 	resp, err := conn.Do(ctx, x.outgoing(relay.Attempt{
 		Upstream: u.ID, Workspace: x.workspace, Priority: x.priority, TimeLeft: x.remaining(),
@@ -183,7 +184,7 @@
 	x.recordStatements(u, reply)
 	x.mu.Lock()
 	if !reply.Misdirected {
-		x.fleet.RecordAnswer(u.ID, x.clock.Now())
+		x.fleet.RecordAnswer(u, sentAt, x.clock.Now())
 	}
 	if l := reply.Load; l.Known {
 		x.calls.RecordLoad(u.ID, l.Running+l.Waiting, l.Slowness, x.clock.Now())
@@ -195,7 +196,7 @@
 			conn.Close()
 		}
 		if reply.Misdirected {
-			x.updateID(u, reply.Upstream)
+			x.updateID(u, reply.Upstream, sentAt)
 			return nil, errAddressReused
 		}
 		return nil, errUpstreamFull
--- a/router/direct/copier_test.go
+++ b/router/direct/copier_test.go
@@ -70,7 +70,7 @@
 	DeferCleanup(source.Close)
 
 	st := newState(Settings{VM: "entry", FailureDomain: "north", Retries: Retries{Slack: 1000, WindowSeconds: 10}}, Options{
-		Clock: c.clock, Log: event.New(io.Discard, slog.LevelError, "entry"), Dial: upstream.Dial,
+		Clock: c.clock, BootClock: newBootClock(c.clock), Log: event.New(io.Discard, slog.LevelError, "entry"), Dial: upstream.Dial,
 	})
 	st.broadcastSoon = func() {}
 	g := group.New(context.Background())
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -22,6 +22,7 @@
 	conn.SetStallFunc(func(idle time.Duration) (time.Duration, error) { return s.checkStall(r, idle) })
 	mayHaveRunBefore := s.mayHaveRun
 	s.mayHaveRun = true
+	r.sentAt = s.boot.Now()
 	a := relay.Attempt{
 		Upstream: r.upstream.ID, Workspace: s.workspace, Priority: s.priority, TimeLeft: s.remaining(),
 		LastEventID: s.lastEventID, Resumes: s.resumes,
@@ -62,7 +63,7 @@
 		conn.Close()
 	}
 	if reply.Misdirected {
-		s.updateID(r.upstream, reply.Upstream)
+		s.updateID(r.upstream, reply.Upstream, r.sentAt)
 		return errAddressReused
 	}
 	return errNotRun
@@ -210,7 +211,7 @@
 	elapsed := now.Sub(r.placedAt)
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	s.fleet.RecordAnswer(r.upstream.ID, now)
+	s.fleet.RecordAnswer(r.upstream, r.sentAt, now)
 	r.reservation.PrefillDone()
 	s.broadcastSoon()
 	if r.resumeFrom == nil {
--- a/router/direct/fuzz_test.go
+++ b/router/direct/fuzz_test.go
@@ -38,8 +38,9 @@
 		if proto.Unmarshal(message, n) != nil {
 			return
 		}
+		clock := clockwork.NewFakeClock()
 		a, err := New(Settings{VM: "entry", Address: "127.0.0.1", Peers: "127.0.0.1:1", Retries: Retries{WindowSeconds: 1}}, Options{
-			Clock: clockwork.NewFakeClock(), Log: event.New(io.Discard, slog.LevelError, "entry"),
+			Clock: clock, BootClock: newBootClock(clock), Log: event.New(io.Discard, slog.LevelError, "entry"),
 			Decode: Decoder{
 				Layout:   mirror.Layout{Config: "config", Upstreams: "upstreams/", Routers: "routers/"},
 				Config:   func([]byte) (*routing.Config, error) { return routing.New(1, nil, nil, nil, routing.Limits{}), nil },
--- a/router/direct/recovery.go
+++ b/router/direct/recovery.go
@@ -23,6 +23,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxProbeTimeout)
 	defer cancel()
+	sentAt := h.boot.Now()
 	reply, _, err := h.controlCall(ctx, u, relay.Call{Method: http.MethodGet, Target: service.HealthPath, Header: http.Header{}})
 	switch reply.Upstream {
 	case "":
@@ -30,7 +31,7 @@
 	case u.ID:
 		h.markRecovered(u)
 	default:
-		h.updateID(u, reply.Upstream)
+		h.updateID(u, reply.Upstream, sentAt)
 	}
 }
 
--- a/router/direct/replaced_test.go
+++ b/router/direct/replaced_test.go
@@ -28,7 +28,7 @@
 		u, found := first.state.fleet.Get("old")
 		Expect(found).To(BeTrue())
 		// The upstream has not answered for longer than the address reuse time.
-		first.state.updateID(u, "new")
+		first.state.updateID(u, "new", 0)
 		Expect(known(first)).To(BeFalse())
 		second.applyUpdate(first.buildUpdate())
 		Expect(known(second)).To(BeFalse())
@@ -37,7 +37,7 @@
 	It("is reported long enough to reach routers that want few updates", func() {
 		a := newApp("entry-1")
 		u, _ := a.state.fleet.Get("old")
-		a.state.updateID(u, "new")
+		a.state.updateID(u, "new", 0)
 		clock := a.state.clock.(interface{ Advance(d time.Duration) })
 		clock.Advance(2 * time.Second)
 		Expect(a.buildUpdate().GetReplaced()).To(ConsistOf("old"))
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/fleet"
@@ -36,6 +37,8 @@
 	// slowness is the upstream's slowness factor at the time of placement.
 	slowness float64
 	placedAt time.Time
+	// sentAt is when the request was sent to the upstream.
+	sentAt boottime.Instant
 	// delay is how long the upstream does not take the run yet, charge the charge to its limit.
 	delay  time.Duration
 	charge ratelimit.Charge
@@ -131,7 +134,7 @@
 func (s *stream) handleFailedRun(r *run, err error) {
 	if r.stall.events > 0 {
 		s.state.mu.Lock()
-		s.fleet.RecordAnswer(r.upstream.ID, r.stall.lastEventAt)
+		s.fleet.RecordAnswer(r.upstream, r.sentAt, r.stall.lastEventAt)
 		s.state.mu.Unlock()
 	}
 	switch {
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/budget"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
@@ -38,7 +39,9 @@
 
 // state is the router's knowledge of the configuration, the upstreams and the other routers.
 type state struct {
-	clock   clockwork.Clock
+	clock clockwork.Clock
+	// boot tells how long ago something was, also if the machine was suspended since.
+	boot    boottime.Clock
 	log     *event.Log
 	metrics *metric.Registry
 	decode  Decoder
@@ -96,7 +99,7 @@
 func newState(cfg Settings, o Options) *state {
 	limits := cfg.Upstreams.withDefaults()
 	return &state{
-		clock: o.Clock, log: o.Log, metrics: metric.New(), decode: o.Decode,
+		clock: o.Clock, boot: o.BootClock, log: o.Log, metrics: metric.New(), decode: o.Decode,
 		pool:   upstream.NewPool(o.Dial, o.Clock, limits.poolLimits()),
 		limits: limits, answers: newAnswerMemory(cfg.MemoryMegabytes),
 		fleet:      fleet.New(reregisterTime),
--- a/router/direct/state_test.go
+++ b/router/direct/state_test.go
@@ -32,8 +32,9 @@
 // value, and a function that returns the remote end of the last connection that the state opened.
 func newTestState() (*state, func() net.Conn) {
 	var remote net.Conn
+	clock := clockwork.NewFakeClock()
 	st := newState(Settings{VM: "entry", FailureDomain: "north", AddressReuseSeconds: 2, Retries: Retries{WindowSeconds: 10}}, Options{
-		Clock: clockwork.NewFakeClock(), Log: event.New(io.Discard, slog.LevelError, "entry"),
+		Clock: clock, BootClock: newBootClock(clock), Log: event.New(io.Discard, slog.LevelError, "entry"),
 		Dial: func(context.Context, string, string) (net.Conn, error) {
 			local, remoteConn := net.Pipe()
 			remote = remoteConn
@@ -95,9 +96,9 @@
 		st, _ := newTestState()
 		st.applyChanges(upstreamAdded("a", 1))
 		st.storeAnswered()
-		st.fleet.RecordAnswer("a", st.clock.Now())
 		u, _ := st.fleet.Get("a")
-		st.updateID(u, "b")
+		st.fleet.RecordAnswer(u, st.boot.Now(), st.clock.Now())
+		st.updateID(u, "b", st.boot.Now())
 		Expect(st.fleet.Usable("lookup")).To(HaveLen(1), "if the store became unavailable now, no upstream would be left")
 		Expect(st.fleet.Usable("lookup")[0].ID).To(Equal(ids.VM("b")))
 	})
--- a/router/direct/testrouter_test.go
+++ b/router/direct/testrouter_test.go
@@ -27,7 +27,8 @@
 	"bilberrylug.dev/router/upstream"
 )
 
-// testDialect is a minimal dialect. Requests carry Id and Max-Wait-Ms; responses carry Id, Signed and Not-Run.
+// testDialect is a minimal dialect. Requests carry Id and Max-Wait-Ms; responses carry Id, Signed, Not-Run, and Vm if the address belongs
+// to another upstream than the one addressed.
 type testDialect struct{ relay.Dialect }
 
 func (testDialect) Request(r *http.Request) (relay.Request, error) {
@@ -45,7 +46,11 @@
 }
 
 func (testDialect) Reply(r *http.Response) relay.Reply {
-	return relay.Reply{Request: ids.Request(r.Header.Get("Id")), NotRun: r.Header.Get("Not-Run") != "", Signed: r.Header.Get("Signed") != ""}
+	vm := ids.VM(r.Header.Get("Vm"))
+	return relay.Reply{
+		Request: ids.Request(r.Header.Get("Id")), NotRun: r.Header.Get("Not-Run") != "", Signed: r.Header.Get("Signed") != "",
+		Misdirected: vm != "", Upstream: vm,
+	}
 }
 
 func (testDialect) Refuse(http.Header, relay.Request, time.Duration) {}
@@ -116,8 +121,9 @@
 
 // newTestRouterOn starts such a router on a listener that wrap returns, with a server that configure changes.
 func newTestRouterOn(memoryMegabytes int64, wrap func(l net.Listener) net.Listener, configure ...func(s *http.Server)) *testRouter {
+	clock := clockwork.NewRealClock()
 	st := newState(Settings{VM: "entry", FailureDomain: "north", Retries: Retries{Slack: 1000, WindowSeconds: 10}, MemoryMegabytes: memoryMegabytes}, Options{
-		Clock: clockwork.NewRealClock(), Log: event.New(io.Discard, slog.LevelError, "entry"), Dial: upstream.Dial,
+		Clock: clock, BootClock: newBootClock(clock), Log: event.New(io.Discard, slog.LevelError, "entry"), Dial: upstream.Dial,
 	})
 	st.broadcastSoon = func() {}
 	timeout := 8 * time.Second
