Upstreams are asked for their IDs while the store is away

Cause: since an upstream counts as alive only when a request was sent that it has answered, an engine that answers streams for seconds is hardly ever known to have been alive within the two seconds in which its address cannot go to another service. Engines that restart while the store is away were dropped until its return. Change: while no router has had an answer of the store for 0.8 s, each upstream is asked for its ID every 0.2 s by the router that comes first for it, on a connection of its own, and every 0.1 s if it is silent. That router adopts the next ID and tells the others, also those that have dropped the upstream in the last 5 s. A report that an address is in use by another upstream makes a router that may adopt that one ask first. The margin of the reuse time is 50 ms, as both ends of the age are known on one clock now.

--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -28,7 +28,7 @@
 	// that has crashed registers its next start within this time.
 	suspicionTTL = 3 * time.Second
 	// adoptMargin allows for clocks that run at different rates.
-	adoptMargin = 200 * time.Millisecond
+	adoptMargin = 50 * time.Millisecond
 	// outageProbeInterval is the minimum time between probes of one upstream while the store is unreachable: only probes
 	// detect its next start then.
 	outageProbeInterval = 200 * time.Millisecond
@@ -49,6 +49,10 @@
 	aliveAt boottime.Instant
 	// probedAt is when it was last probed while unavailable.
 	probedAt time.Time
+	// askedAt is when it was last due to be asked for its ID, replacedAt when its address was found to answer with another one.
+	askedAt, replacedAt time.Time
+	// silent is set if it has not answered when it was last asked.
+	silent bool
 	// era is that of the store in which the entry was last read.
 	era store.Era
 	// missingSince is when its entry disappeared while the store may have dropped the entries of live upstreams.
@@ -70,6 +74,8 @@
 	// departed holds the last entries of upstreams that have left the store, returned those that only an older copy of it has brought back.
 	departed map[ids.VM]departure
 	returned map[ids.VM]returnedEntry
+	// replaced holds upstreams whose addresses have answered with other IDs lately.
+	replaced map[ids.VM]*Upstream
 	// usable caches the results of Usable until an upstream appears, disappears or changes its availability.
 	usable map[ids.Service][]*Upstream
 }
@@ -80,6 +86,7 @@
 	return &Directory{
 		reregisterTime: reregisterTime, upstreams: map[ids.VM]*Upstream{}, byAddress: map[string]ids.VM{}, losses: map[ids.FailureDomain][]time.Time{},
 		usable: map[ids.Service][]*Upstream{}, departed: map[ids.VM]departure{}, returned: map[ids.VM]returnedEntry{},
+		replaced: map[ids.VM]*Upstream{},
 	}
 }
 
@@ -184,13 +191,6 @@
 	return out
 }
 
-// Forget deletes an upstream whose address now answers as another upstream.
-func (d *Directory) Forget(id ids.VM, started int64) {
-	if u, known := d.upstreams[id]; known && u.Started == started {
-		d.remove(id)
-	}
-}
-
 // Get returns a copy of an upstream.
 func (d *Directory) Get(id ids.VM) (Upstream, bool) {
 	u, known := d.upstreams[id]
--- a/core/fleet/directory_test.go
+++ b/core/fleet/directory_test.go
@@ -176,6 +176,44 @@
 		d.RecordAnswer(u, sent, start)
 		Expect(d.AdoptID(asked, "7", fleet.Exchange{Sent: sent, Read: sent}, start, 2*time.Second)).To(BeFalse())
 	})
+	It("applies another router's report of the next ID to an upstream that was dropped because its address answers with it", func() {
+		d := withStore(fleet.New(2 * time.Second))
+		d.Put(entry("0", 1), 0, start)
+		d.Put(entry("1", 1), 0, start)
+		d.Forget("0", 1, start)
+		d.Forget("1", 1, start)
+		Expect(d.Rename("0", "7", start.Add(time.Second))).To(BeTrue())
+		Expect(usable(d)).To(Equal([]ids.VM{"7"}))
+		Expect(d.Rename("1", "8", start.Add(6*time.Second))).To(BeFalse(), "the report is too old")
+		d.Put(entry("2", 1), 0, start)
+		d.Forget("2", 1, start)
+		next := entry("3", 1)
+		next.Address = entry("2", 1).Address
+		d.Put(next, 0, start)
+		Expect(d.Rename("2", "9", start.Add(time.Second))).To(BeFalse(), "another upstream is registered at the address")
+	})
+	It("names the upstreams that are to be asked for their IDs, and those that do not answer more often", func() {
+		d := withStore(fleet.New(2 * time.Second))
+		for i := range 3 {
+			d.Put(entry(fmt.Sprint(i), 1), 0, start)
+		}
+		d.MarkLeaving("2", 1)
+		due := func(ms int) []ids.VM {
+			var out []ids.VM
+			for _, u := range d.DueForConfirmation(start.Add(time.Duration(ms)*time.Millisecond), func(id ids.VM) bool { return id != "1" }) {
+				out = append(out, u.ID)
+			}
+			return out
+		}
+		Expect(due(0)).To(Equal([]ids.VM{"0"}))
+		Expect(due(150)).To(BeEmpty())
+		u, _ := d.Get("0")
+		d.RecordSilence(u)
+		Expect(due(150)).To(Equal([]ids.VM{"0"}))
+		d.RecordAnswer(u, sent, start)
+		Expect(due(300)).To(BeEmpty())
+		Expect(due(360)).To(Equal([]ids.VM{"0"}))
+	})
 	It("suspects an upstream that another router has lost until it answers, registers a new start, or three seconds have passed", func() {
 		d := withStore(fleet.New(2 * time.Second))
 		d.Put(entry("0", 1), 0, start)
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/ids"
 )
 
@@ -91,60 +90,6 @@
 	return last
 }
 
-// Exchange is a request and its answer, which was given at some time between the two: it may have waited on the way or, while
-// this machine stood still, in its socket.
-type Exchange struct{ Sent, Read boottime.Instant }
-
-// AdoptID renames an upstream to the ID that its address has answered an exchange with, and reports whether it did. It refuses when
-// the address may already belong to another service: an address is reused no sooner than the reuse time after its upstream has
-// ended, so the upstream must have been alive within that time.
-func (d *Directory) AdoptID(old Upstream, newID ids.VM, x Exchange, now time.Time, reuse time.Duration) bool {
-	u := d.current(old)
-	if u == nil || newID == "" || newID == old.ID || u.aliveAt == 0 || x.Read.Sub(u.aliveAt) > reuse-adoptMargin {
-		return false
-	}
-	if !d.Rename(old.ID, newID, now) {
-		return false
-	}
-	d.upstreams[newID].aliveAt = x.Sent
-	return true
-}
-
-// current returns the entry of the same start of an upstream at the same address, or nil.
-func (d *Directory) current(u Upstream) *Upstream {
-	if c, known := d.upstreams[u.ID]; known && c.Started == u.Started && c.Address == u.Address {
-		return c
-	}
-	return nil
-}
-
-// Rename applies another router's report of the ID that an upstream's address answers with, and reports whether it did. When the
-// upstream was alive under that ID is not known then.
-func (d *Directory) Rename(oldID, newID ids.VM, now time.Time) bool {
-	u, known := d.upstreams[oldID]
-	if _, exists := d.upstreams[newID]; !known || exists || u.Draining {
-		return false
-	}
-	e := u.Entry
-	e.ID = newID
-	e.Started = 0
-	d.remove(oldID)
-	d.add(&Upstream{Entry: e, answeredAt: now})
-	return true
-}
-
-// RecordAnswer records that an upstream has answered a request that was sent at one time, and that its answer was read at another.
-func (d *Directory) RecordAnswer(from Upstream, sent boottime.Instant, read time.Time) {
-	u := d.current(from)
-	if u == nil {
-		return
-	}
-	u.aliveAt = max(u.aliveAt, sent)
-	if read.After(u.answeredAt) {
-		u.answeredAt = read
-	}
-}
-
 // NextProbe returns the unavailable upstream whose last probe is the longest ago, and records a probe of it now.
 func (d *Directory) NextProbe(now time.Time) (Upstream, bool) {
 	var next *Upstream
--- a/core/mirror/watcher_role.go
+++ b/core/mirror/watcher_role.go
@@ -65,6 +65,17 @@
 // RecordSelf records that the store has answered this router.
 func (w *WatcherRole) RecordSelf(now time.Time) { w.self.At = now }
 
+// LastContact returns when the store last answered this router or another one, as far as is known; the zero time means never.
+func (w *WatcherRole) LastContact() time.Time {
+	last := w.self.At
+	for _, c := range w.peers {
+		if c.At.After(last) {
+			last = c.At
+		}
+	}
+	return last
+}
+
 // StoreReachable reports whether the store has recently answered this router or another one.
 func (w *WatcherRole) StoreReachable(now time.Time) bool {
 	if w.self.recent(now) {
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -109,6 +109,7 @@
 		shutdown: tracker, schedDelay: a.schedDelay, promptsFetched: make(chan struct{}), conns: newCallerConns(st),
 	}
 	a.handler.prober.onRecovered = a.handler.verifyRecovered
+	st.confirm = a.handler.confirmAsync
 	a.broadcaster = gossip.NewBroadcaster(gossip.Options{
 		Options: cfg.dissemination(o.Decode.Layout.Config, st.sendsChangesTo),
 		Dialer:  dialer, Clock: o.Clock, Log: o.Log, Metrics: st.metrics, Group: g,
@@ -167,6 +168,7 @@
 	a.group.Go(a.handler.fetchPrompts)
 	for _, run := range []func(ctx context.Context){
 		a.follower.Run, a.broadcaster.Run, a.broadcaster.RunBulk, a.maintainEntry, a.handler.prober.run, a.schedDelay.run,
+		func(ctx context.Context) { group.Every(ctx, a.opts.Clock, confirmTick, a.handler.confirmUpstreams) },
 		func(ctx context.Context) { group.Every(ctx, a.opts.Clock, expireInterval, a.expire) },
 	} {
 		a.group.Keep(a.opts.Clock, run)
--- a/router/direct/availability.go
+++ b/router/direct/availability.go
@@ -135,18 +135,24 @@
 // dropUpstream removes an upstream whose address is in use by another one.
 func (st *state) dropUpstream(u fleet.Upstream, args ...any) {
 	st.mu.Lock()
-	st.fleet.Forget(u.ID, u.Started)
+	st.fleet.Forget(u.ID, u.Started, st.clock.Now())
 	st.mu.Unlock()
 	st.pool.CloseIdle(u.Address)
 	st.log.Write(event.UpstreamLost, append([]any{"upstream", u.ID, "reason", "address in use by another upstream"}, args...)...)
 }
 
-// dropReplaced removes an upstream of which another router reports that its address is in use by another one.
+// dropReplaced removes an upstream of which another router reports that its address is in use by another one, unless this router may
+// still adopt the one there.
 func (st *state) dropReplaced(id, toldBy ids.VM) {
 	st.mu.Lock()
 	u, known := st.fleet.Get(id)
+	mayAdopt := st.fleet.MayAdopt(id, st.boot.Now(), st.addressReuse)
 	st.mu.Unlock()
-	if known {
+	switch {
+	case !known:
+	case mayAdopt:
+		st.confirm(u)
+	default:
 		st.dropUpstream(u, "told_by", toldBy)
 	}
 }
--- a/router/direct/control.go
+++ b/router/direct/control.go
@@ -22,6 +22,11 @@
 	if err != nil {
 		return relay.Reply{}, nil, err
 	}
+	return h.controlCallOn(ctx, conn, u, call)
+}
+
+// controlCallOn sends a request of the router itself on a connection, which it releases or closes.
+func (h *handler) controlCallOn(ctx context.Context, conn connection, u fleet.Upstream, call relay.Call) (relay.Reply, []byte, error) {
 	h.mu.Lock()
 	h.rateLimits.Take(u.ID, h.clock.Now())
 	h.mu.Unlock()
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -70,6 +70,10 @@
 	watcherRole *mirror.WatcherRole
 	// broadcastSoon triggers a broadcast of the state to the other routers.
 	broadcastSoon func()
+	// confirm asks an upstream for its ID, in the background.
+	confirm func(u fleet.Upstream)
+	// routers holds the other routers that are present.
+	routers []ids.VM
 	// promptEngines holds the engine that has each prompt in its KV cache, recordedPrompts the ones that this router has
 	// recorded lately, for the other routers.
 	promptEngines   *placement.PrefixIndex
@@ -109,6 +113,7 @@
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(),
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
+		confirm: func(fleet.Upstream) {},
 	}
 }
 
@@ -155,6 +160,7 @@
 	peerTTL := intervalsUntilStale * interval
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.routers = peers
 	st.rateLimits.SetPeers(peers, interval)
 	st.picker.Routers = max(minRouters, len(peers)+1)
 	st.picker.PeerTTL = peerTTL
--- a/router/direct/testrouter_test.go
+++ b/router/direct/testrouter_test.go
@@ -27,8 +27,8 @@
 	"bilberrylug.dev/router/upstream"
 )
 
-// testDialect is a minimal dialect. Requests carry Id and Max-Wait-Ms; responses carry Id, Signed, Not-Run, and Vm if the address belongs
-// to another upstream than the one addressed.
+// testDialect is a minimal dialect. Requests carry Id and Max-Wait-Ms; responses carry Id, Signed, Not-Run, and Vm with the
+// upstream's own ID.
 type testDialect struct{ relay.Dialect }
 
 func (testDialect) Request(r *http.Request) (relay.Request, error) {
@@ -49,7 +49,7 @@
 	vm := ids.VM(r.Header.Get("Vm"))
 	return relay.Reply{
 		Request: ids.Request(r.Header.Get("Id")), NotRun: r.Header.Get("Not-Run") != "", Signed: r.Header.Get("Signed") != "",
-		Misdirected: vm != "", Upstream: vm,
+		Misdirected: r.StatusCode == http.StatusMisdirectedRequest, Upstream: vm,
 	}
 }
 
@@ -136,7 +136,7 @@
 			Name: "digest", Host: "h", Prefix: "/digest/", Kind: routing.Streaming, Timeout: 30 * time.Second, MaxAttempts: 2, Resumable: true,
 			Targets: targets("pool"), TargetLatency: time.Second,
 		},
-	}, []routing.Service{{Name: "desk"}, {Name: "flood"}, {Name: "pool", Engine: &routing.Engine{Slots: 4, MemoryTokens: 1000, EventTokens: 1}}}, nil, routing.Limits{}))
+	}, []routing.Service{{Name: "desk", HealthPath: "/health"}, {Name: "flood"}, {Name: "pool", Engine: &routing.Engine{Slots: 4, MemoryTokens: 1000, EventTokens: 1}}}, nil, routing.Limits{}))
 	g := group.New(context.Background())
 	tracker := &shutdownTracker{clock: st.clock}
 	h := &handler{
