An upstream's limit is not lifted by an answer that was given before it

Cause: the statements of an upstream were ordered by when its answers were read. Answers on different connections overtake each other, and some wait while a router stands still, so that an answer from before the limit lifted it, here and at the routers that were told. Change: a statement that names no limit counts as made when its request was sent; one that names a limit, as before, when it was read. The age of a lifted limit for the other routers follows from it, while the time for which it is passed on starts when it was heard of. Test: core/ratelimit, 'is not lifted by the answer to a request that was sent before the limit was heard of'; it failed with the order of before. platform/e2e's specs on limits passed.

--- a/core/ratelimit/fleet_test.go
+++ b/core/ratelimit/fleet_test.go
@@ -136,7 +136,7 @@
 		}
 		r.limiter.Take(id, f.now)
 		f.arrivals[id] = append(f.arrivals[id], f.now)
-		r.limiter.Record(id, "pool", ratelimit.Statement{Named: f.limits[id] > 0, Rate: ratelimit.Rate(f.limits[id])}, f.now)
+		r.limiter.Record(id, "pool", ratelimit.Statement{Named: f.limits[id] > 0, Rate: ratelimit.Rate(f.limits[id])}, f.now, f.now)
 		f.served++
 		return
 	}
--- a/core/ratelimit/limiter_test.go
+++ b/core/ratelimit/limiter_test.go
@@ -35,24 +35,36 @@
 
 	It("lets the only router use a whole limit, and no more", func() {
 		l := ratelimit.New("a")
-		l.Record("u", "pool", named(5), start)
+		l.Record("u", "pool", named(5), start, start)
 		Expect(takeAll(l, start, start.Add(2*time.Second))).To(BeNumerically("~", 11, 1))
 	})
 	It("limits nothing that has named no limit", func() {
 		l := ratelimit.New("a")
-		l.Record("u", "pool", ratelimit.Statement{}, start)
+		l.Record("u", "pool", ratelimit.Statement{}, start, start)
 		Expect(l.Delay("u", start)).To(BeZero())
 		Expect(l.Reports(start)).To(BeEmpty())
 	})
 	It("sends nothing to an upstream that takes nothing, until that has faded", func() {
 		l := ratelimit.New("a")
-		l.Record("u", "pool", named(0), start)
+		l.Record("u", "pool", named(0), start, start)
 		Expect(l.Delay("u", start.Add(10*time.Second))).To(Equal(ratelimit.Never))
 		Expect(takeAll(l, start.Add(15*time.Second), start.Add(40*time.Second))).To(BeNumerically(">", 100))
 	})
+	// Guards against a limit that is lifted by an answer that was given before the one that has named it, and was read after it.
+	It("is not lifted by the answer to a request that was sent before the limit was heard of", func() {
+		l := ratelimit.New("a")
+		l.Record("u", "pool", named(5), start, start.Add(100*time.Millisecond))
+		_, changed := l.Record("u", "pool", ratelimit.Statement{}, start.Add(50*time.Millisecond), start.Add(2*time.Second))
+		Expect(changed).To(BeFalse())
+		Expect(l.Reports(start.Add(2 * time.Second))[0].Named).To(BeTrue())
+		_, changed = l.Record("u", "pool", ratelimit.Statement{}, start.Add(150*time.Millisecond), start.Add(6*time.Second))
+		Expect(changed).To(BeTrue())
+		Expect(l.Reports(start.Add(9*time.Second))).To(HaveLen(1), "it is passed on although its request is old")
+		Expect(l.Reports(start.Add(11 * time.Second))).To(BeEmpty())
+	})
 	It("goes by the newest statement, whoever has heard it", func() {
 		l := ratelimit.New("a")
-		l.Record("u", "pool", named(5), start)
+		l.Record("u", "pool", named(5), start, start)
 		older := ratelimit.Report{Upstream: "u", Service: "pool", Statement: named(9), Age: 2 * time.Second}
 		Expect(l.Merge([]ratelimit.Report{older}, start.Add(time.Second))).To(BeEmpty())
 		lifted := ratelimit.Report{Upstream: "u", Service: "pool"}
@@ -62,7 +74,7 @@
 	})
 	It("lets a limit fade by degrees after the upstream should have been heard of, and forgets it", func() {
 		l := ratelimit.New("a")
-		l.Record("u", "pool", named(2), start)
+		l.Record("u", "pool", named(2), start, start)
 		Expect(takeAll(l, start, start.Add(3*time.Second))).To(BeNumerically("~", 7, 1))
 		Expect(takeAll(l, start.Add(3*time.Second), start.Add(5*time.Second))).To(BeNumerically("~", 8, 2))
 		Expect(l.Expire(start.Add(10 * time.Second))).To(BeEmpty())
@@ -71,7 +83,7 @@
 	})
 	It("gives back the charge of a request that is not sent", func() {
 		l := ratelimit.New("a")
-		l.Record("u", "pool", named(1), start)
+		l.Record("u", "pool", named(1), start, start)
 		charge := l.Take("u", start)
 		Expect(l.Delay("u", start)).To(BeNumerically(">", 900*time.Millisecond))
 		charge.Cancel(start)
@@ -80,7 +92,7 @@
 	It("keeps a bounded number of statements, the newest ones", func() {
 		l := ratelimit.New("a")
 		for i := range 5000 {
-			l.Record(ids.VM(fmt.Sprint(i)), "pool", named(0), start.Add(time.Duration(i)*time.Millisecond))
+			l.Record(ids.VM(fmt.Sprint(i)), "pool", named(0), start.Add(time.Duration(i)*time.Millisecond), start.Add(time.Duration(i)*time.Millisecond))
 		}
 		Expect(len(l.Reports(start.Add(5 * time.Second)))).To(BeNumerically("<=", 4096))
 		Expect(l.Delay("4999", start.Add(5*time.Second))).To(Equal(ratelimit.Never))
@@ -100,7 +112,7 @@
 					}
 				}
 				list[i].SetPeers(others, interval)
-				list[i].Record("u", "pool", named(100), start)
+				list[i].Record("u", "pool", named(100), start, start)
 			}
 			told := make([][]time.Time, n)
 			for i := range told {
@@ -124,7 +136,7 @@
 					}
 				}
 				for _, l := range list {
-					l.Record("u", "pool", named(100), now)
+					l.Record("u", "pool", named(100), now, now)
 					for l.Delay("u", now) == 0 {
 						l.Take("u", now)
 						taken++
@@ -154,7 +166,7 @@
 			for i := range 192 {
 				upstreams = append(upstreams, ids.VM(fmt.Sprint("i-", i)))
 				if i < limited {
-					l.Record(upstreams[i], "pool", named(20), now)
+					l.Record(upstreams[i], "pool", named(20), now, now)
 				}
 			}
 			for b.Loop() {
--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	l := ratelimit.New("entry-1")
-//	change, changed := l.Record("engine-7", "pool", ratelimit.Statement{Named: true, Rate: 5.5}, now)
+//	change, changed := l.Record("engine-7", "pool", ratelimit.Statement{Named: true, Rate: 5.5}, sent, now)
 //	l.Merge(reports, now)     // statements that another router has passed on
 //	reports := l.Reports(now) // statements for the other routers
 //	l.RecordRequest("pool", now)
@@ -77,7 +77,10 @@
 type limited struct {
 	service ids.Service
 	Statement
+	// at is when the statement was made, as late as possible for one that names a limit and as early as possible for another one.
 	at time.Time
+	// heardAt is when this router heard of it.
+	heardAt time.Time
 	// bucket limits this router's requests; nil until it is used.
 	bucket *bucket
 }
@@ -102,9 +105,14 @@
 	}
 }
 
-// Record records what an answer of an upstream has said, and reports whether that changes its limit.
-func (l *Limiter) Record(id ids.VM, service ids.Service, s Statement, now time.Time) (Change, bool) {
-	return l.learn(id, service, s, now, now)
+// Record records what an answer of an upstream has said to a request that was sent at some time, and reports whether that changes its
+// limit. Answers may overtake each other: one that names no limit lifts a limit only if its request was sent after the limit was heard of.
+func (l *Limiter) Record(id ids.VM, service ids.Service, s Statement, sent, now time.Time) (Change, bool) {
+	at := now
+	if !s.Named {
+		at = sent
+	}
+	return l.learn(id, service, s, at, now)
 }
 
 // Merge records statements that another router has passed on, and returns the changes.
@@ -139,7 +147,7 @@
 	if changed && u.bucket != nil {
 		u.bucket.computedAt = time.Time{}
 	}
-	u.service, u.Statement, u.at = service, s, at
+	u.service, u.Statement, u.at, u.heardAt = service, s, at, now
 	return c, changed
 }
 
@@ -162,7 +170,7 @@
 	var out []Report
 	for id, u := range l.upstreams {
 		age := now.Sub(u.at)
-		if !u.Named && age > releaseReportTime {
+		if !u.Named && now.Sub(u.heardAt) > releaseReportTime {
 			delete(l.upstreams, id)
 			continue
 		}
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -181,7 +181,7 @@
 	if unattributed(reply, conn) {
 		return nil, errUnattributed
 	}
-	x.recordStatements(u, reply)
+	x.recordStatements(u, reply, sentAt)
 	x.mu.Lock()
 	if !reply.Misdirected {
 		x.fleet.RecordAnswer(u, sentAt, x.clock.Now())
--- a/router/direct/control.go
+++ b/router/direct/control.go
@@ -32,6 +32,7 @@
 	h.mu.Unlock()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
+	sentAt := h.boot.Now()
 	//nolint:bodyclose // The connection owns the body: Release or Close ends it.
 	resp, err := conn.Do(ctx, upstream.Request{
 		Method: call.Method, Target: call.Target, Host: u.Address, Header: call.Header, Body: call.Body,
@@ -41,7 +42,7 @@
 		conn.Close()
 		return relay.Reply{}, nil, err
 	}
-	h.recordStatements(u, h.dialect.Reply(resp))
+	h.recordStatements(u, h.dialect.Reply(resp), sentAt)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxControlBytes+1))
 	if err == nil && len(body) > maxControlBytes {
 		err = fault.New(fault.ReplyTooLarge, "a reply of more than %d bytes to a call of the router", maxControlBytes)
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -42,7 +42,7 @@
 	if unattributed(reply, conn) {
 		return errUnattributed
 	}
-	s.recordStatements(r.upstream, reply)
+	s.recordStatements(r.upstream, reply, r.sentAt)
 	if reply.NotRun {
 		s.mayHaveRun = mayHaveRunBefore
 		return s.handleRefusal(conn, resp, reply, r)
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
@@ -13,8 +14,8 @@
 	"bilberrylug.dev/core/wireconv"
 )
 
-// recordStatements records what an answer says about the upstream that has sent it.
-func (st *state) recordStatements(u fleet.Upstream, r relay.Reply) {
+// recordStatements records what the answer to a request that was sent at some time says about the upstream.
+func (st *state) recordStatements(u fleet.Upstream, r relay.Reply, sentAt boottime.Instant) {
 	if r.Misdirected || r.Upstream != "" && r.Upstream != u.ID {
 		return
 	}
@@ -29,8 +30,9 @@
 	}
 	s := ratelimit.Statement{Named: r.Limit.Named, Rate: ratelimit.Rate(r.Limit.PerSecond)}
 	now := st.clock.Now()
+	sent := now.Add(-st.boot.Now().Sub(sentAt))
 	changes := locked(&st.mu, func() []ratelimit.Change {
-		if c, changed := st.rateLimits.Record(u.ID, u.Service, s, now); changed {
+		if c, changed := st.rateLimits.Record(u.ID, u.Service, s, sent, now); changed {
 			return []ratelimit.Change{c}
 		}
 		return nil
