A listing of the store does not tell what was removed before it

What callers saw: payments to an upstream that had left seconds before; those that ran when it exited ended with 502.

Cause: a router that has just started lists the store and serves the changes after any revision to the others, as if it knew all removals since. A key that was removed before its listing is not in it. A router that was behind the removal took the changes, counted as complete, and kept the upstream: nobody sends the removal again.

Change: a replica keeps the revision after which it knows all removals. What is new is pushed to it at once, without completing it, and once. Related paths that the property test found are mended with it: changes since zero that complete a router which has other keys, and late changes that bring back a key which was removed before a listing. The items of a listing are applied in the order in which they were written.

--- a/core/dissemination/node_test.go
+++ b/core/dissemination/node_test.go
@@ -82,6 +82,37 @@
 		_, ok = n.NextPull(start.Add(250 * time.Millisecond))
 		Expect(ok).To(BeTrue())
 	})
+	// Guards against requests to an upstream that has left: a router that had started after its removal told the others that they knew all
+	// changes.
+	It("learns of removals from a router that has listed the store after them", func() {
+		server := dissemination.New(dissemination.Options{
+			Self: "server", Domain: "north", ValueKey: valueKey, Link: wideLink, CPUShare: 1, SendsChangesTo: pushesTo(true),
+		})
+		n := newNode("n", wideLink)
+		kept := store.Item{Key: "upstreams/kept", Modified: 1}
+		n.Apply([]store.Change{{Item: kept}, {Item: store.Item{Key: "upstreams/left", Modified: 2}}}, 2)
+		now := start
+		server.Receive("n", "n", n.Status(), nil, now)
+		server.Reset("upstreams/", []store.Item{kept, {Key: "upstreams/new", Modified: 4}}, 5)
+		server.MarkComplete(5)
+		updates := server.Updates(now)
+		Expect(updates).To(HaveLen(1))
+		changes := n.Receive("server", "s", server.Status(), updates[0].Delta, now)
+		Expect(changes).To(HaveLen(1), "what is new does not wait for the pull")
+		status := n.Status()
+		server.UpdateDone("n", &status, now)
+		Expect(server.Updates(now.Add(100*time.Millisecond))).To(BeEmpty(), "the same is not pushed again")
+		n.NextPull(now)
+		now = now.Add(time.Second)
+		p, ok := n.NextPull(now)
+		Expect(ok).To(BeTrue())
+		page := server.ServePull(p.Since, p.Snapshot, now)
+		changes = n.PullDone(p.From, &page, now)
+		Expect(changes).To(HaveLen(1))
+		Expect(changes[0].Key).To(Equal("upstreams/left"))
+		Expect(changes[0].Removed).To(BeTrue())
+		Expect(n.Revision()).To(BeEquivalentTo(5))
+	})
 	It("learns of removals from a router that no longer knows all of them", func() {
 		server, n := newNode("server", wideLink), newNode("n", wideLink)
 		kept := store.Change{Item: store.Item{Key: "upstreams/kept", Modified: 1}}
--- a/core/dissemination/peer.go
+++ b/core/dissemination/peer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/store"
 )
 
 const (
@@ -42,6 +43,14 @@
 
 func (b *backoff) succeed() { *b = backoff{} }
 
+// push holds the revision that a router was at when changes were pushed to it, and the revision up to which they were.
+type push struct{ since, upTo store.Revision }
+
+// lacksPush reports whether changes up to a revision have not been pushed to the router yet.
+func (p *peer) lacksPush(upTo store.Revision) bool {
+	return p.known && p.status.Revision < upTo && p.pushed != push{p.status.Revision, upTo}
+}
+
 // peer is what the node knows of another router.
 type peer struct {
 	address string
@@ -57,6 +66,8 @@
 	// updates and bulk are the retries of updates, and of pulls and fetches.
 	updates backoff
 	bulk    backoff
+	// pushed is the last push of changes to the router, whether they completed it or not. It pulls what it still lacks.
+	pushed push
 	// sentAt is when the last update was sent to the router, sentSeq the state that it contained.
 	sentAt  time.Time
 	sentSeq uint64
--- a/core/dissemination/pull.go
+++ b/core/dissemination/pull.go
@@ -74,6 +74,8 @@
 		p.Since, p.Snapshot = s.after, true
 	} else {
 		n.pull.snapshot = nil
+		// Without a revision the node may have keys that have been removed since.
+		p.Snapshot = own == 0
 	}
 	return p, true
 }
--- a/core/dissemination/updates.go
+++ b/core/dissemination/updates.go
@@ -95,6 +95,7 @@
 		u := Update{To: d.vm, Address: d.address}
 		if d.push {
 			u.Delta = n.push(d.status.Revision, deltas)
+			d.pushed = push{d.status.Revision, n.Revision()}
 		}
 		out = append(out, u)
 	}
@@ -117,7 +118,7 @@
 		if _, sending := n.sending[vm]; sending || p.address == "" {
 			continue
 		}
-		push := p.known && p.status.Revision < n.Revision() && pushes(vm)
+		push := p.lacksPush(n.Revision()) && pushes(vm)
 		dueAt := n.dueAt(p)
 		if push {
 			dueAt = p.updates.retryAt
@@ -153,7 +154,11 @@
 		return d
 	}
 	var out *mirror.Delta
-	if d := n.replica.Delta(since, maxPushBytes); !d.More && !d.Snapshot {
+	d := n.replica.Delta(since, maxPushBytes)
+	if d.Snapshot {
+		d = n.replica.Partial(since, maxPushBytes)
+	}
+	if !d.More {
 		out = &d
 	}
 	deltas[since] = out
@@ -206,6 +211,7 @@
 	}
 	failedBefore := p.updates.failures > 0
 	if status == nil {
+		p.pushed = push{}
 		p.updates.fail(now)
 		return !failedBefore
 	}
--- a/core/mirror/delta.go
+++ b/core/mirror/delta.go
@@ -23,21 +23,29 @@
 	UpTo  store.Revision
 	// More is set if further changes follow.
 	More bool
-	// Snapshot is set if the replica no longer knows all keys that were removed after Since: this delta and those that follow
+	// Snapshot is set if the replica does not know all keys that were removed after Since: this delta and those that follow
 	// it together hold all keys that exist.
 	Snapshot bool
 }
 
 // Delta returns the changes after a revision, without large values. It ends after maxBytes, but not between changes of the
-// same revision. If the replica no longer knows all keys that were removed after the revision, it returns the first part of
+// same revision. If the replica does not know all keys that were removed after the revision, it returns the first part of
 // a snapshot, and also if the revision is of an earlier era: the receiver may have keys that this replica has never known.
 func (r *Replica) Delta(since store.Revision, maxBytes int) Delta {
-	if since > 0 && (since < r.prunedUpTo || since.Era() < r.revision.Era()) {
+	if since > 0 && (since < r.removalsAfter || since.Era() < r.revision.Era()) {
 		return r.Snapshot(0, maxBytes)
 	}
 	return r.page(since, maxBytes)
 }
 
+// Partial returns the changes after a revision for a router that may lack removals that this replica does not know either. They complete
+// that router only if it is complete up to Since.
+func (r *Replica) Partial(since store.Revision, maxBytes int) Delta {
+	d := r.page(since, maxBytes)
+	d.Since = max(since, min(r.removalsAfter, d.UpTo))
+	return d
+}
+
 // Snapshot returns the part of a snapshot that follows the changes up to a revision.
 func (r *Replica) Snapshot(after store.Revision, maxBytes int) Delta {
 	d := r.page(after, maxBytes)
--- a/core/mirror/era_test.go
+++ b/core/mirror/era_test.go
@@ -56,7 +56,8 @@
 		r := mirror.NewReplica()
 		list(r, revision(2, 40), written("config", "v2", revision(2, 30)))
 		Expect(r.Delta(revision(1, 60), 1<<20).Snapshot).To(BeTrue())
-		Expect(r.Delta(revision(2, 30), 1<<20).Snapshot).To(BeFalse())
+		Expect(r.Delta(revision(2, 30), 1<<20).Snapshot).To(BeTrue(), "what was removed before the listing is not known either")
+		Expect(r.Delta(revision(2, 40), 1<<20).Snapshot).To(BeFalse())
 	})
 	It("agrees with the store after any returns, changes and listings, in any order of delivery", func() {
 		rapid.Check(GinkgoTB(), func(t *rapid.T) {
--- a/core/mirror/replica.go
+++ b/core/mirror/replica.go
@@ -15,6 +15,8 @@
 package mirror
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"bilberrylug.dev/core/store"
@@ -48,28 +50,70 @@
 	revision   store.Revision
 	// era is the latest era of the store of which the replica has a change or a listing.
 	era store.Era
-	// prunedUpTo is the highest revision of a removed key that is no longer kept.
-	prunedUpTo store.Revision
+	// removalsAfter is the revision after which all removals are known, up to the replica's revision. A listing does not show which
+	// keys were removed before it, and the oldest removals are not kept.
+	removalsAfter store.Revision
+	// listed holds the revision at which each prefix was last listed.
+	listed map[string]store.Revision
 }
 
 // NewReplica returns an empty replica at revision zero.
-func NewReplica() *Replica { return &Replica{entries: make(map[string]entry)} }
+func NewReplica() *Replica {
+	return &Replica{entries: make(map[string]entry), listed: make(map[string]store.Revision)}
+}
 
 // Revision returns the revision of the store up to which the replica is complete, except for omitted values.
 func (r *Replica) Revision() store.Revision { return r.revision }
 
 // Merge applies the changes between two revisions of another replica, and returns those that were new. The replica's
-// revision rises only if the replica was complete up to since; otherwise changes before since are still missing.
+// revision rises only if the replica was complete up to since; otherwise changes before since are still missing. Changes since zero
+// do not tell which keys have been removed, so they complete only a replica that has no others.
 func (r *Replica) Merge(list []store.Change, since, upTo store.Revision) []store.Change {
-	if r.revision < since {
+	if r.revision < since || since == 0 && r.hasOthers(list, upTo) {
 		upTo = r.revision
 	}
+	if since == 0 && upTo > r.revision {
+		r.removalsAfter = max(r.removalsAfter, upTo)
+	}
 	return r.Apply(list, upTo)
 }
 
+// hasOthers reports whether the replica has a key that was written up to a revision and of which the changes do not tell what became.
+func (r *Replica) hasOthers(list []store.Change, upTo store.Revision) bool {
+	present := make(map[string]bool, len(list))
+	for _, c := range list {
+		present[c.Key] = c.Modified >= r.entries[c.Key].modified
+	}
+	return len(r.missing("", present, upTo)) > 0
+}
+
 // Apply applies changes that complete the replica up to a revision, and returns those that were new and whose values are
-// known. Changes of an earlier era than the latest known one are ignored: what still exists of them is listed in that one.
+// known. Changes of an earlier era than the latest known one are ignored: what still exists of them is listed in that one. A change that
+// is new to a replica although it is complete beyond it tells of a key that has been removed since.
 func (r *Replica) Apply(list []store.Change, upTo store.Revision) []store.Change {
+	current := make([]store.Change, 0, len(list))
+	for _, c := range list {
+		old, known := r.entries[c.Key]
+		if at := r.completeTo(c.Key); !c.Removed && c.Modified <= at && (!known || c.Modified > old.modified) {
+			c = store.Change{Item: store.Item{Key: c.Key, Modified: at}, Removed: true}
+		}
+		current = append(current, c)
+	}
+	return r.apply(current, upTo)
+}
+
+// completeTo returns the revision up to which the replica is complete for a key.
+func (r *Replica) completeTo(key string) store.Revision {
+	out := r.revision
+	for prefix, at := range r.listed {
+		if strings.HasPrefix(key, prefix) {
+			out = max(out, at)
+		}
+	}
+	return out
+}
+
+func (r *Replica) apply(list []store.Change, upTo store.Revision) []store.Change {
 	var applied []store.Change
 	r.era = max(r.era, upTo.Era())
 	for _, c := range list {
@@ -95,23 +139,26 @@
 	return c.Modified > old.modified || c.Modified == old.modified && old.omitted > 0 && c.OmittedBytes == 0
 }
 
-// Reset applies a full listing of one prefix that was started at a revision, and returns the changes that were new. Known
-// keys that the listing lacks have been removed, unless they changed after that revision.
+// Reset applies a full listing of one prefix that was started at a revision, and returns the changes that were new, in the order of their
+// revisions. Known keys that the listing lacks have been removed, unless they changed after that revision.
 func (r *Replica) Reset(prefix string, items []store.Item, at store.Revision) []store.Change {
 	r.era = max(r.era, at.Era())
+	r.listed[prefix] = max(r.listed[prefix], at)
 	present := make(map[string]bool, len(items))
 	list := make([]store.Change, 0, len(items))
 	for _, i := range items {
 		present[i.Key] = true
 		list = append(list, store.Change{Item: i})
 	}
-	return r.Apply(append(list, r.missing(prefix, present, at)...), r.revision)
+	slices.SortStableFunc(list, func(a, b store.Change) int { return cmp.Compare(a.Modified, b.Modified) })
+	return r.apply(append(list, r.missing(prefix, present, at)...), r.revision)
 }
 
 // RemoveMissing removes the keys that a snapshot of another replica lacks, unless they changed after its revision, and
 // returns the changes.
 func (r *Replica) RemoveMissing(present map[string]bool, at store.Revision) []store.Change {
-	return r.Apply(r.missing("", present, at), at)
+	r.removalsAfter = max(r.removalsAfter, at)
+	return r.apply(r.missing("", present, at), at)
 }
 
 // missing returns the removals of the keys with the prefix that are not present in a listing at a revision.
@@ -126,11 +173,14 @@
 }
 
 // MarkComplete records that all prefixes have been listed at a revision or later.
-func (r *Replica) MarkComplete(at store.Revision) { r.revision = max(r.revision, at) }
+func (r *Replica) MarkComplete(at store.Revision) {
+	r.revision = max(r.revision, at)
+	r.removalsAfter = max(r.removalsAfter, at)
+}
 
 // Resolve adds the value of a key that was written at a revision, and returns the change unless the replica has a newer one.
 func (r *Replica) Resolve(item store.Item) []store.Change {
-	return r.Apply([]store.Change{{Item: item}}, r.revision)
+	return r.apply([]store.Change{{Item: item}}, r.revision)
 }
 
 // Omitted returns the revision and the size of the value of a key if the replica knows of the value without having it.
@@ -167,7 +217,7 @@
 		if e.removed && e.modified <= middle {
 			delete(r.entries, key)
 			r.tombstones--
-			r.prunedUpTo = max(r.prunedUpTo, e.modified)
+			r.removalsAfter = max(r.removalsAfter, e.modified)
 		}
 	}
 }
--- a/core/mirror/replica_test.go
+++ b/core/mirror/replica_test.go
@@ -83,7 +83,10 @@
 		r := mirror.NewReplica()
 		r.Merge([]store.Change{{Item: store.Item{Key: "routers/b", Modified: 9}}}, 8, 9)
 		Expect(r.Revision()).To(BeZero(), "it would never request the configuration")
-		r.Merge([]store.Change{{Item: store.Item{Key: "config", Modified: 3}}}, 0, 9)
+		config := store.Change{Item: store.Item{Key: "config", Modified: 3}}
+		r.Merge([]store.Change{config}, 0, 9)
+		Expect(r.Revision()).To(BeZero(), "the other replica does not have routers/b, so that it may have been removed")
+		r.Merge([]store.Change{config, {Item: store.Item{Key: "routers/b", Modified: 9}}}, 0, 9)
 		Expect(r.Revision()).To(BeEquivalentTo(9))
 	})
 	It("returns each change once", func() {
