A watch of the store whose answer cannot be used is not repeated

What callers saw: for up to twenty seconds after an outage of the store, a key that was taken away was served and a new one refused with 401.

Cause: a watch returns each write. A router that had missed eleven versions of 0.86 MB got more than the 8 MiB that it reads of one reply, and repeated the same watch until the store had dropped that history.

The follower lists after them, as it does after 410. A page of a listing that is still arriving when its time ends gets twice the time at the next try.

Why it works: a listing holds each key once and comes in pages of about 1 MB.

--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -25,6 +25,8 @@
 	firstWatchWait = time.Millisecond
 	// listTimeout bounds the request for one page of a listing; a slow store takes a few hundred milliseconds.
 	listTimeout = 1500 * time.Millisecond
+	// maxListTimeout bounds it for a router whose link is so slow or busy that a page has not arrived within listTimeout.
+	maxListTimeout = 12 * time.Second
 	// batchPause is the pause between watches. It batches changes, since calls count against the store's limited rate.
 	batchPause = 100 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call, when all routers share the store's limited call rate.
@@ -64,8 +66,10 @@
 type Follower struct {
 	o Options
 
-	// watching is set while the router watches the store. Only Run uses it.
-	watching bool
+	// watching is set while the router watches the store, and listTimeout is the time that one page of a listing gets. Only Run uses
+	// them.
+	watching    bool
+	listTimeout time.Duration
 
 	mu         sync.Mutex
 	reachable  bool
@@ -73,7 +77,7 @@
 }
 
 // NewFollower returns a follower that has not called the store yet.
-func NewFollower(o Options) *Follower { return &Follower{o: o} }
+func NewFollower(o Options) *Follower { return &Follower{o: o, listTimeout: listTimeout} }
 
 // LastAnswer returns when the store last answered this router; the zero time means never.
 func (f *Follower) LastAnswer() time.Time {
@@ -103,10 +107,12 @@
 			listed = false
 			continue
 		}
-		if errors.Is(err, context.DeadlineExceeded) {
-			// An unanswered watch may have missed changes.
+		if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, store.ErrUnusable) {
+			// An unanswered watch may have missed changes, and one whose answer cannot be used would get the same again: it holds all
+			// writes of each key, so that it may be larger than a listing.
 			listed = false
 		}
+		f.adaptTimeout(err)
 		if ctx.Err() != nil {
 			return
 		}
@@ -122,6 +128,16 @@
 	}
 }
 
+// adaptTimeout allows more time for the pages of a listing after one that was still arriving when its time ended.
+func (f *Follower) adaptTimeout(err error) {
+	switch {
+	case err == nil:
+		f.listTimeout = listTimeout
+	case errors.Is(err, store.ErrBrokenOff) && errors.Is(err, context.DeadlineExceeded):
+		f.listTimeout = min(maxListTimeout, 2*f.listTimeout)
+	}
+}
+
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -194,7 +210,7 @@
 }
 
 func (f *Follower) listPage(ctx context.Context, prefix, after string) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.listTimeout)
 	defer cancel()
 	return f.o.Store.Range(ctx, prefix, after)
 }
--- a/core/mirror/follower_test.go
+++ b/core/mirror/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -20,15 +21,20 @@
 // fakeStore answers with the functions that a test sets.
 type fakeStore struct {
 	store.Store
-	list  func() (store.Page, error)
-	watch func(ctx context.Context, wait time.Duration) (store.Changes, error)
-	lists atomic.Int32
-	mu    sync.Mutex
-	waits []time.Duration
+	list func() (store.Page, error)
+	// listIn, if set, is used in place of list.
+	listIn func(ctx context.Context) (store.Page, error)
+	watch  func(ctx context.Context, wait time.Duration) (store.Changes, error)
+	lists  atomic.Int32
+	mu     sync.Mutex
+	waits  []time.Duration
 }
 
-func (s *fakeStore) Range(context.Context, string, string) (store.Page, error) {
-	s.lists.Add(1)
+func (s *fakeStore) Range(ctx context.Context, _, _ string) (store.Page, error) {
+	defer s.lists.Add(1)
+	if s.listIn != nil {
+		return s.listIn(ctx)
+	}
 	return s.list()
 }
 
@@ -110,6 +116,37 @@
 		before := target.applied.Load()
 		Eventually(target.applied.Load, 2*time.Second).Should(BeNumerically(">", before))
 	})
+	// Guards against a router that stays at an old configuration although the store answers it: the same watch was repeated, and its answer
+	// was too large each time.
+	It("lists again if the answer of a watch cannot be used", func() {
+		s := &fakeStore{list: emptyPage, watch: func(context.Context, time.Duration) (store.Changes, error) {
+			return store.Changes{}, fmt.Errorf("%w: too large", store.ErrUnusable)
+		}}
+		follow(s, &fakeTarget{}, &isWatcher)
+		Eventually(s.lists.Load, time.Second).Should(BeNumerically(">=", 6))
+		Consistently(s.lists.Load, "500ms").Should(BeNumerically("<", 30), "with pauses between")
+	})
+	// Guards against a listing that a slow link never completes within its time.
+	It("allows more time for a listing after one that was still arriving when its time ended", func() {
+		var allowed []time.Duration
+		var mu sync.Mutex
+		s := &fakeStore{watch: unchanged}
+		s.listIn = func(ctx context.Context) (store.Page, error) {
+			deadline, _ := ctx.Deadline()
+			mu.Lock()
+			defer mu.Unlock()
+			allowed = append(allowed, time.Until(deadline).Round(100*time.Millisecond))
+			if len(allowed) <= 2 {
+				return store.Page{}, fmt.Errorf("%w: %w", store.ErrBrokenOff, context.DeadlineExceeded)
+			}
+			return emptyPage()
+		}
+		follow(s, &fakeTarget{}, &isWatcher)
+		Eventually(s.lists.Load, time.Second).Should(BeNumerically(">=", 3))
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(allowed[:3]).To(Equal([]time.Duration{1500 * time.Millisecond, 3 * time.Second, 6 * time.Second}))
+	})
 	It("asks without waiting when its router takes over the role, so that the others learn at once that the store answers", func() {
 		isWatcher.Store(false)
 		s := &fakeStore{list: emptyPage, watch: unchanged}
--- a/core/store/errors.go
+++ b/core/store/errors.go
@@ -8,5 +8,12 @@
 // ErrRestored is returned where the store has returned from an older copy between two calls that belong together: list the prefixes again.
 var ErrRestored = errors.New("store: it has returned from an older copy; list the prefixes again")
 
+// ErrUnusable is returned where the store has answered with something that cannot be used, such as a reply that is too large or cannot be
+// decoded. The same call would be answered in the same way: instead of watching on, list the prefix again.
+var ErrUnusable = errors.New("store: its answer cannot be used; list the prefix again")
+
+// ErrBrokenOff is returned where a call has ended while its answer was arriving: allow more time for the next one.
+var ErrBrokenOff = errors.New("store: the call ended while its answer was arriving; allow more time")
+
 // ErrLeaseEnded is returned for a lease that has ended: open a new one.
 var ErrLeaseEnded = errors.New("store: lease has ended; open a new one")
