--- a/core/event/log.go
+++ b/core/event/log.go
@@ -28,8 +28,13 @@
 	return &Log{slog.New(handler).With("vm", vm), levelVar}
 }
 
-// Write logs an event with args as alternating attribute keys and values.
+// Write logs an event with args as alternating attribute keys and values. Long texts are cut: errors quote what others have sent.
 func (l *Log) Write(k Kind, args ...any) {
+	for i, a := range args {
+		if s, ok := a.(string); ok && len(s) > maxFieldBytes {
+			args[i] = s[:maxFieldBytes] + "..."
+		}
+	}
 	l.slog.With("event", k.Number).Log(context.Background(), k.Level, k.Title, args...)
 }
 
@@ -41,6 +46,9 @@
 	l.Write(Panicked, "request", request, "value", fmt.Sprint(value), "stack", string(stack[:min(len(stack), maxStackBytes)]))
 }
 
+// maxFieldBytes bounds a text of an event.
+const maxFieldBytes = 4 << 10
+
 // maxStackBytes bounds the part of a stack that is logged.
 const maxStackBytes = 4 << 10
 
