An entry of an undeclared service does not displace the upstream at its address

Cause: an entry takes the place of any other upstream at its address, which has then ended. An entry of another writer names no upstream to use, also if its service is one that nobody has declared, but with the address of an upstream that serves it displaced that. With one such entry for each upstream of a service all its requests were refused with 503. Change: entries of services that the configuration does not declare are kept aside until it does, and applied then in the order of their revisions. Those that come before the first configuration count until it comes, and are reviewed then.

--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -82,6 +82,9 @@
 	era store.Era
 	// addressReuse is how long the address of an ended upstream is not given to another service.
 	addressReuse time.Duration
+	// undeclared holds the latest changes of upstreams' entries whose services the configuration did not declare, or that came before the
+	// first configuration, by key.
+	undeclared map[string]store.Change
 	// leaving holds the upstreams that have said lately that they are leaving.
 	leaving []leavingUpstream
 	// renamed holds the upstreams whose addresses recently answered with another ID.
@@ -111,7 +114,7 @@
 		quarantine: quarantine.New(cfg.VM), rateLimits: ratelimit.New(cfg.VM),
 		limiters: map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
-		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(),
+		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(), undeclared: map[string]store.Change{},
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
 		confirm: func(fleet.Upstream) {},
 	}
--- a/router/direct/store_changes.go
+++ b/router/direct/store_changes.go
@@ -82,6 +82,7 @@
 	close(st.activation)
 	st.activation = make(chan struct{})
 	st.mu.Unlock()
+	st.reviewUndeclared()
 	st.metrics.Gauge("config_version").Update(int64(cfg.Version))
 	st.log.Write(event.ConfigActivated, "version", uint64(cfg.Version), "store_revision", c.Modified)
 }
@@ -99,6 +100,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.updateStoreReachable(now)
+	delete(st.undeclared, c.Key)
 	if c.Removed {
 		id := ids.VM(c.Key[len(st.decode.Layout.Upstreams):])
 		st.fleet.Remove(id, now)
@@ -113,6 +115,9 @@
 		st.log.Write(event.EntryUnreadable, "key", c.Key, "error", err.Error(), "store_revision", c.Modified)
 		return
 	}
+	if !st.declares(e, c) {
+		return
+	}
 	old, known := st.fleet.Get(e.ID)
 	if !st.fleet.Put(e, c.Modified.Era(), now) {
 		st.log.Write(event.UpstreamChanged, "upstream", e.ID, "state", "entry of an older copy ignored", "draining", e.Draining,
