A moment in which nobody has asked the store is no outage of it

What callers saw: requests to an upstream 2.1 s after it had left; 2 s are allowed.

Cause: an upstream whose entry is removed keeps its work while the store counts as unreachable, and for 1.7 s after its return, since entries of live upstreams may lapse in an outage. The store counts as unreachable after 1.2 s without an answer to any router. When all routers that watch it are killed, that time may pass while it answers; the next answer then begins the 1.7 s. Change: an outage counts from one and a half heartbeat intervals of upstreams on (upstream_heartbeat_ms, from the platform's settings). Entries lapse after three intervals without a write.

--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	d := fleet.New(2*time.Second)
+//	d := fleet.New(2*time.Second, 1800*time.Millisecond)
 //	d.Put(entry, era, now)
 //	for _, u := range d.Usable("lug-pool") { ... }
 //	d.MarkLost(u.ID, u.Started, now) // unavailable until it registers a new start or a probe succeeds
@@ -63,7 +63,9 @@
 type Directory struct {
 	// reregisterTime is how long live upstreams may take to register again after the store has recovered.
 	reregisterTime time.Duration
-	upstreams      map[ids.VM]*Upstream
+	// minOutage is the shortest outage of the store in which the entries of live upstreams may lapse.
+	minOutage time.Duration
+	upstreams map[ids.VM]*Upstream
 	// byAddress holds the upstream at each address.
 	byAddress map[string]ids.VM
 	// losses holds the times of the recent losses in each failure domain.
@@ -71,6 +73,8 @@
 	// storeRecoveredAt is when the store became reachable again, zero before its first recovery.
 	storeRecoveredAt time.Time
 	storeDown        bool
+	// storeSilentSince is when the store last answered before it counted as unreachable.
+	storeSilentSince time.Time
 	// departed holds the last entries of upstreams that have left the store, returned those that only an older copy of it has brought back.
 	departed map[ids.VM]departure
 	returned map[ids.VM]returnedEntry
@@ -80,11 +84,11 @@
 	usable map[ids.Service][]*Upstream
 }
 
-// New returns an empty directory. Entries removed from the store during an outage and within reregisterTime after it are
-// kept.
-func New(reregisterTime time.Duration) *Directory {
+// New returns an empty directory. Entries removed from the store during an outage and, if it took minOutage, within reregisterTime after
+// it are kept.
+func New(reregisterTime, minOutage time.Duration) *Directory {
 	return &Directory{
-		reregisterTime: reregisterTime, upstreams: map[ids.VM]*Upstream{}, byAddress: map[string]ids.VM{}, losses: map[ids.FailureDomain][]time.Time{},
+		reregisterTime: reregisterTime, minOutage: minOutage, upstreams: map[ids.VM]*Upstream{}, byAddress: map[string]ids.VM{}, losses: map[ids.FailureDomain][]time.Time{},
 		usable: map[ids.Service][]*Upstream{}, departed: map[ids.VM]departure{}, returned: map[ids.VM]returnedEntry{},
 		replaced: map[ids.VM]*Upstream{},
 	}
@@ -160,13 +164,16 @@
 	d.depart(u, now)
 }
 
-// SetStoreReachable records whether the store is reachable. An unreachable store does not count as an outage before any
-// upstream is known.
-func (d *Directory) SetStoreReachable(reachable bool, now time.Time) {
+// SetStoreReachable records whether the store is reachable, and when it last answered. An unreachable store does not count as an outage
+// before any upstream is known, nor does a short time in which nobody has asked it.
+func (d *Directory) SetStoreReachable(reachable bool, lastAnswer, now time.Time) {
 	if !reachable && len(d.upstreams) == 0 {
 		return
 	}
-	if reachable && d.storeDown {
+	if !reachable {
+		d.storeSilentSince = lastAnswer
+	}
+	if reachable && d.storeDown && now.Sub(d.storeSilentSince) >= d.minOutage {
 		d.storeRecoveredAt = now
 	}
 	d.storeDown = !reachable
--- a/core/fleet/restored_test.go
+++ b/core/fleet/restored_test.go
@@ -20,13 +20,13 @@
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 	It("keeps an upstream draining that the copy shows as ready", func() {
-		d := withStore(fleet.New(2 * time.Second))
+		d := withStore(fleet.New(2*time.Second, time.Second))
 		Expect(d.Put(numbered(5, true), 1, start)).To(BeTrue())
 		Expect(d.Put(numbered(4, false), 2, at(100))).To(BeFalse())
 		Expect(usable(d)).To(BeEmpty())
 	})
 	It("does not offer an upstream that has left until its entry has stood longer than that of one that is gone, or is written anew", func() {
-		d := withStore(fleet.New(2 * time.Second))
+		d := withStore(fleet.New(2*time.Second, time.Second))
 		d.Put(numbered(5, false), 1, start)
 		d.Remove("0", at(100))
 		Expect(d.Put(numbered(5, false), 2, at(1000))).To(BeFalse())
@@ -41,7 +41,7 @@
 		Expect(usable(d)).To(HaveLen(1))
 	})
 	It("does not offer an upstream that was leaving, however long its entry stands", func() {
-		d := withStore(fleet.New(2 * time.Second))
+		d := withStore(fleet.New(2*time.Second, time.Second))
 		d.Put(numbered(5, false), 1, start)
 		Expect(d.MarkLeaving("0", 1)).To(BeTrue())
 		d.Remove("0", at(100))
@@ -50,7 +50,7 @@
 		Expect(usable(d)).To(BeEmpty())
 	})
 	It("does not offer it either once its entry has ended there", func() {
-		d := withStore(fleet.New(2 * time.Second))
+		d := withStore(fleet.New(2*time.Second, time.Second))
 		d.Put(numbered(5, false), 1, start)
 		d.Remove("0", at(100))
 		d.Put(numbered(5, false), 2, at(1000))
@@ -59,7 +59,7 @@
 		Expect(usable(d)).To(BeEmpty())
 	})
 	It("keeps an upstream that the copy does not show until it has had time to write its entry again", func() {
-		d := withStore(fleet.New(2 * time.Second))
+		d := withStore(fleet.New(2*time.Second, time.Second))
 		d.Put(numbered(1, false), 1, start)
 		d.StoreRestored(at(100))
 		d.Remove("0", at(100))
--- a/router/direct/settings.go
+++ b/router/direct/settings.go
@@ -35,7 +35,9 @@
 	// StopSeconds bounds a graceful shutdown, in seconds.
 	StopSeconds float64 `yaml:"stop_seconds"`
 	// AddressReuseSeconds is the time, in seconds, for which the address of an ended upstream is not given to another service.
-	AddressReuseSeconds float64   `yaml:"address_reuse_seconds"`
+	AddressReuseSeconds float64 `yaml:"address_reuse_seconds"`
+	// UpstreamHeartbeatMs is the interval, in milliseconds, at which upstreams write their entries; 1,200 by default.
+	UpstreamHeartbeatMs int64     `yaml:"upstream_heartbeat_ms"`
 	Store               Store     `yaml:"store"`
 	Retries             Retries   `yaml:"retries"`
 	Upstreams           Upstreams `yaml:"upstreams"`
@@ -153,6 +155,22 @@
 	return time.Duration(s.AddressReuseSeconds * float64(time.Second))
 }
 
+const (
+	defaultUpstreamHeartbeat = 1200 * time.Millisecond
+	// outageIntervals is the number of heartbeat intervals without the store after which entries of live upstreams may have lapsed. They do
+	// so after three without a write, one of which may lie before the outage; the intervals are approximate.
+	outageIntervals = 1.5
+)
+
+// minOutage returns the shortest outage of the store in which the entries of live upstreams may lapse.
+func (s Settings) minOutage() time.Duration {
+	heartbeat := time.Duration(s.UpstreamHeartbeatMs) * time.Millisecond
+	if heartbeat <= 0 {
+		heartbeat = defaultUpstreamHeartbeat
+	}
+	return time.Duration(outageIntervals * float64(heartbeat))
+}
+
 func (s Settings) metricsAddress() string {
 	return net.JoinHostPort(s.Address, strconv.Itoa(s.MetricsPort))
 }
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -109,7 +109,7 @@
 		clock: o.Clock, boot: o.BootClock, log: o.Log, metrics: metric.New(), decode: o.Decode,
 		pool:   upstream.NewPool(o.Dial, o.Clock, limits.poolLimits()),
 		limits: limits, answers: newAnswerMemory(cfg.MemoryMegabytes),
-		fleet:      fleet.New(reregisterTime),
+		fleet:      fleet.New(reregisterTime, cfg.minOutage()),
 		picker:     placement.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, LoadTracker: placement.NewLoadTracker()},
 		quarantine: quarantine.New(cfg.VM), rateLimits: ratelimit.New(cfg.VM),
 		limiters: map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
@@ -137,7 +137,7 @@
 // updateStoreReachable passes to the directory whether the store has recently answered this router or another one. The
 // caller must hold st.mu.
 func (st *state) updateStoreReachable(now time.Time) {
-	st.fleet.SetStoreReachable(st.watcherRole.StoreReachable(now), now)
+	st.fleet.SetStoreReachable(st.watcherRole.StoreReachable(now), st.watcherRole.LastContact(), now)
 }
 
 // watchesStore reports whether this router is one of those that watch the store.
