--- a/core/event/log.go
+++ b/core/event/log.go
@@ -12,6 +12,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"slices"
 )
 
 // Log writes events as JSON lines.
@@ -30,12 +31,18 @@
 
 // Write logs an event with args as alternating attribute keys and values. Long texts are cut: errors quote what others have sent.
 func (l *Log) Write(k Kind, args ...any) {
-	for i, a := range args {
+	l.slog.With("event", k.Number).Log(context.Background(), k.Level, k.Title, bounded(args)...)
+}
+
+// bounded returns the arguments with long texts cut.
+func bounded(args []any) []any {
+	out := slices.Clone(args)
+	for i, a := range out {
 		if s, ok := a.(string); ok && len(s) > maxFieldBytes {
-			args[i] = s[:maxFieldBytes] + "..."
+			out[i] = s[:maxFieldBytes] + "..."
 		}
 	}
-	l.slog.With("event", k.Number).Log(context.Background(), k.Level, k.Title, args...)
+	return out
 }
 
 // Panic logs a panic of a goroutine with its stack.
--- a/router/direct/store_changes.go
+++ b/router/direct/store_changes.go
@@ -115,7 +115,7 @@
 		st.log.Write(event.EntryUnreadable, "key", c.Key, "error", err.Error(), "store_revision", c.Modified)
 		return
 	}
-	if !st.declares(e, c) {
+	if !st.admitEntry(e, c) {
 		return
 	}
 	old, known := st.fleet.Get(e.ID)
--- a/router/direct/undeclared.go
+++ b/router/direct/undeclared.go
@@ -13,10 +13,10 @@
 // maxUndeclared bounds the entries of undeclared services that are kept until their services are declared.
 const maxUndeclared = 4096
 
-// declares reports whether an upstream's entry names a service of the configuration. An entry that does not may come from another writer
-// and have the address of an upstream that is in use; it is kept until its service is declared. Before the first configuration all entries
+// admitEntry reports whether an upstream's entry names a service of the configuration. An entry that does not may come from another
+// writer and have the address of an upstream that is in use; it is set aside until its service is declared. Before the first configuration all entries
 // count, and are reviewed when it comes. The caller must hold st.mu.
-func (st *state) declares(e fleet.Entry, c store.Change) bool {
+func (st *state) admitEntry(e fleet.Entry, c store.Change) bool {
 	cfg := st.config.Load()
 	declared := true
 	if cfg != nil {
@@ -51,13 +51,12 @@
 			continue
 		}
 		_, declared := cfg.Service(e.Service)
-		known := false
-		if !declared {
-			st.mu.Lock()
-			_, known = st.fleet.Get(e.ID)
-			st.mu.Unlock()
-		}
-		if declared || known {
+		inUse := locked(&st.mu, func() bool {
+			_, known := st.fleet.Get(e.ID)
+			return known
+		})
+		// An undeclared one that was admitted before the first configuration is dropped.
+		if declared || inUse {
 			st.applyUpstream(c)
 		}
 	}
