A request is not cut by an idle limit that expires while it is being read

Cause: the limit expires after the request's bytes were taken from the socket and before the connection is marked as begun; nothing waits in the socket then, and it was closed. Evidence: EV4311 idle at 28.9706 s, then EV4310 'use of closed network connection' and EV4303 of that request at 28.9844 s. Change: while nothing is known to have been read, the limit only ends the waiting, as Close does; a read that returns bytes goes on.

--- a/router/direct/caller_conn.go
+++ b/router/direct/caller_conn.go
@@ -27,6 +27,8 @@
 	set uint64
 	// begun is set once bytes of the request that current applies to have been read.
 	begun bool
+	// expired is set once a limit has ended the wait for a request.
+	expired bool
 }
 
 // Read implements [net.Conn]. The first bytes after an idle time belong to the next header. A deadline does not cut a request that
@@ -43,6 +45,12 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.begun = true
+		if c.expired {
+			c.expired = false
+			if err := c.SetReadDeadline(c.conns.clock.Now().Add(headerTimeout)); err != nil {
+				return n, err
+			}
+		}
 		if c.current == limitIdle {
 			c.setLimit(limitHeader)
 		}
@@ -130,7 +138,8 @@
 }
 
 // expire closes the connection, unless the limit was replaced meanwhile, or a request has arrived that the server has not read yet: a
-// process that is short of CPU may run the timer first.
+// process that is short of CPU may run the timer first. While nothing of a request is known to have been read it only ends the waiting, as
+// Close does: Read may have taken a request from the socket and not have said so yet.
 func (c *callerConn) expire(set uint64, after time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -142,7 +151,12 @@
 		return
 	}
 	c.conns.log.Write(event.CallerClosed, "remote", c.RemoteAddr().String(), "limit", string(c.current), "after", after.String())
-	_ = c.Conn.Close()
+	if c.begun {
+		_ = c.Conn.Close()
+		return
+	}
+	c.expired = true
+	_ = c.SetReadDeadline(c.conns.clock.Now())
 }
 
 // readable reports whether bytes or the end of the stream wait in the socket.
