Only the newest of several configurations that arrive together is decoded

Cause: a watch returns every version written meanwhile. The router decoded and activated each in turn, about a second each on that machine (log: versions 4, 7, 10, 13, 16 and 19 activated between 38.56 and 43.21), before the one in force. Change: of one batch, the newest configuration that can be read is activated and the others are not decoded.

--- a/router/direct/store_changes.go
+++ b/router/direct/store_changes.go
@@ -1,6 +1,8 @@
 package direct
 
 import (
+	"slices"
+
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/routing"
@@ -22,8 +24,17 @@
 			st.applyRouter(c)
 		}
 	}
-	for _, c := range config {
-		st.applyConfig(c)
+	st.applyNewestConfig(config)
+}
+
+// applyNewestConfig activates the newest of several configurations, in the order of their revisions, that can be read. The others are not
+// decoded: the answer of a watch after an outage holds all versions written meanwhile, and decoding a large one may take a router that is
+// short of CPU a second.
+func (st *state) applyNewestConfig(list []store.Change) {
+	for _, c := range slices.Backward(list) {
+		if st.applyConfig(c) {
+			return
+		}
 	}
 }
 
@@ -59,21 +70,22 @@
 	return 0
 }
 
-// applyConfig activates a configuration unless it is older than the active one.
-func (st *state) applyConfig(c store.Change) {
+// applyConfig activates a configuration unless it is older than the active one or unreadable, and reports whether it or an equal one is
+// active.
+func (st *state) applyConfig(c store.Change) bool {
 	if c.Removed {
-		return
+		return false
 	}
 	cfg, err := st.decode.Config(c.Value)
 	if err != nil {
 		st.log.Write(event.ConfigUnreadable, "store_revision", c.Modified, "error", err.Error())
-		return
+		return false
 	}
 	if old := st.config.Load(); old != nil && old.Version >= cfg.Version {
 		if old.Version > cfg.Version {
 			st.log.Write(event.ConfigOutdated, "version", uint64(cfg.Version), "active", uint64(old.Version), "store_revision", c.Modified)
 		}
-		return
+		return old.Version == cfg.Version
 	}
 	if st.config.Swap(cfg) == nil {
 		close(st.configured)
@@ -85,6 +97,7 @@
 	st.reviewUndeclared()
 	st.metrics.Gauge("config_version").Update(int64(cfg.Version))
 	st.log.Write(event.ConfigActivated, "version", uint64(cfg.Version), "store_revision", c.Modified)
+	return true
 }
 
 // nextActivation returns a channel that is closed when the next configuration becomes active.
