A router that the store has turned away for long lists it instead of asking for all changes since

Cause: the watch after the return holds every version written meanwhile (12 MB for 3.5 s of a storm). Reading it took a starved router 3 to 5 s, and a router on a 10 Mbit/s link lost the watch's whole time before it listed. A watch whose answer is broken off was repeated unchanged, too. Change: after calls have failed for 1.2 s, in which each upstream writes its entry at least once, the next call is a listing, which holds one version of each key; also after an answer that was broken off. Evidence: both new specs failed before.

--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -29,6 +29,10 @@
 	maxListTimeout = 12 * time.Second
 	// batchPause is the pause between watches. It batches changes, since calls count against the store's limited rate.
 	batchPause = 100 * time.Millisecond
+	// relistAfter is the time of failed calls after which a router lists the store instead of asking for the changes since. Upstreams
+	// write their entries about every 1.2 s, so that the changes of a longer time hold more entries than a listing, and in addition every
+	// version of the configuration.
+	relistAfter = 1200 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failed call, when all routers share the store's limited call rate.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 400 * time.Millisecond
@@ -66,10 +70,11 @@
 type Follower struct {
 	o Options
 
-	// watching is set while the router watches the store, and listTimeout is the time that one page of a listing gets. Only Run uses
-	// them.
-	watching    bool
-	listTimeout time.Duration
+	// watching is set while the router watches the store, listTimeout is the time that one page of a listing gets, and failingSince is
+	// when the first of the latest failed calls failed, or zero. Only Run uses them.
+	watching     bool
+	listTimeout  time.Duration
+	failingSince time.Time
 
 	mu         sync.Mutex
 	reachable  bool
@@ -107,9 +112,7 @@
 			listed = false
 			continue
 		}
-		if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, store.ErrUnusable) {
-			// An unanswered watch may have missed changes, and one whose answer cannot be used would get the same again: it holds all
-			// writes of each key, so that it may be larger than a listing.
+		if f.mustList(err) {
 			listed = false
 		}
 		f.adaptTimeout(err)
@@ -128,6 +131,22 @@
 	}
 }
 
+// mustList reports whether the next call must be a listing after one that ended with err. An unanswered watch may have missed changes, and
+// one whose answer cannot be used or was broken off would get the same again: it holds all writes of each key, so that it may be larger
+// than a listing.
+func (f *Follower) mustList(err error) bool {
+	if err == nil {
+		f.failingSince = time.Time{}
+		return false
+	}
+	now := f.o.Clock.Now()
+	if f.failingSince.IsZero() {
+		f.failingSince = now
+	}
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, store.ErrUnusable) || errors.Is(err, store.ErrBrokenOff) ||
+		now.Sub(f.failingSince) >= relistAfter
+}
+
 // adaptTimeout allows more time for the pages of a listing after one that was still arriving when its time ended.
 func (f *Follower) adaptTimeout(err error) {
 	switch {
--- a/core/mirror/follower_test.go
+++ b/core/mirror/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -126,6 +127,45 @@
 		Eventually(s.lists.Load, time.Second).Should(BeNumerically(">=", 6))
 		Consistently(s.lists.Load, "500ms").Should(BeNumerically("<", 30), "with pauses between")
 	})
+	// Guards against a router that is behind for seconds after the store has turned it away: it asked for all versions of a large
+	// configuration that were written meanwhile.
+	It("lists the store after it has been turned away for longer than upstreams take to write their entries", func() {
+		var turnedAway atomic.Bool
+		turnedAway.Store(true)
+		refused := errors.New("status 503")
+		var answered atomic.Int32
+		s := &fakeStore{watch: func(ctx context.Context, wait time.Duration) (store.Changes, error) {
+			if turnedAway.Load() {
+				return store.Changes{}, refused
+			}
+			answered.Add(1)
+			return unchanged(ctx, wait)
+		}}
+		var listed atomic.Int32
+		s.list = func() (store.Page, error) {
+			if turnedAway.Load() && s.lists.Load() >= 3 {
+				return store.Page{}, refused
+			}
+			if !turnedAway.Load() && answered.Load() == 0 {
+				listed.Add(1)
+			}
+			return emptyPage()
+		}
+		follow(s, &fakeTarget{}, &isWatcher)
+		Eventually(s.watches, time.Second).ShouldNot(BeEmpty())
+		time.Sleep(2 * time.Second)
+		turnedAway.Store(false)
+		Eventually(answered.Load, 2*time.Second).Should(BeNumerically(">=", 1))
+		Expect(listed.Load()).To(BeEquivalentTo(3), "each prefix is listed before the first watch")
+	})
+	// Guards against the repetition of a watch that is broken off each time.
+	It("lists again if the answer of a watch is broken off", func() {
+		s := &fakeStore{list: emptyPage, watch: func(context.Context, time.Duration) (store.Changes, error) {
+			return store.Changes{}, fmt.Errorf("%w: connection reset", store.ErrBrokenOff)
+		}}
+		follow(s, &fakeTarget{}, &isWatcher)
+		Eventually(s.lists.Load, time.Second).Should(BeNumerically(">=", 6))
+	})
 	// Guards against a listing that a slow link never completes within its time.
 	It("allows more time for a listing after one that was still arriving when its time ended", func() {
 		var allowed []time.Duration
