A call of the store ends when nothing more arrives, not after the time that a slow link needs

Cause: a listing that was still arriving when its time ended got twice the time at the next try, up to 12 s, so that a call of a silent store was waited for all that time. Change: the store's client ends a call when nothing arrives for 1.5 s; a listing has 12 s in all, which a slow link needs. Time no longer grows with failures.

--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -23,10 +23,9 @@
 	// firstWatchWait is the wait of the first watch of a router that takes over the role, so that the others learn at once
 	// whether the store answers it.
 	firstWatchWait = time.Millisecond
-	// listTimeout bounds the request for one page of a listing; a slow store takes a few hundred milliseconds.
-	listTimeout = 1500 * time.Millisecond
-	// maxListTimeout bounds it for a router whose link is so slow or busy that a page has not arrived within listTimeout.
-	maxListTimeout = 12 * time.Second
+	// listTimeout bounds the request for one page of a listing, which may take long on a slow or busy link. The store's client ends a call
+	// sooner if nothing arrives.
+	listTimeout = 12 * time.Second
 	// batchPause is the pause between watches. It batches changes, since calls count against the store's limited rate.
 	batchPause = 100 * time.Millisecond
 	// relistAfter is the time of failed calls after which a router lists the store instead of asking for the changes since. Upstreams
@@ -70,10 +69,9 @@
 type Follower struct {
 	o Options
 
-	// watching is set while the router watches the store, listTimeout is the time that one page of a listing gets, and failingSince is
-	// when the first of the latest failed calls failed, or zero. Only Run uses them.
+	// watching is set while the router watches the store, and failingSince is when the first of the latest failed calls failed, or zero.
+	// Only Run uses them.
 	watching     bool
-	listTimeout  time.Duration
 	failingSince time.Time
 
 	mu         sync.Mutex
@@ -82,7 +80,7 @@
 }
 
 // NewFollower returns a follower that has not called the store yet.
-func NewFollower(o Options) *Follower { return &Follower{o: o, listTimeout: listTimeout} }
+func NewFollower(o Options) *Follower { return &Follower{o: o} }
 
 // LastAnswer returns when the store last answered this router; the zero time means never.
 func (f *Follower) LastAnswer() time.Time {
@@ -115,7 +113,6 @@
 		if f.mustList(err) {
 			listed = false
 		}
-		f.adaptTimeout(err)
 		if ctx.Err() != nil {
 			return
 		}
@@ -147,16 +144,6 @@
 		now.Sub(f.failingSince) >= relistAfter
 }
 
-// adaptTimeout allows more time for the pages of a listing after one that was still arriving when its time ended.
-func (f *Follower) adaptTimeout(err error) {
-	switch {
-	case err == nil:
-		f.listTimeout = listTimeout
-	case errors.Is(err, store.ErrBrokenOff) && errors.Is(err, context.DeadlineExceeded):
-		f.listTimeout = min(maxListTimeout, 2*f.listTimeout)
-	}
-}
-
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -229,7 +216,7 @@
 }
 
 func (f *Follower) listPage(ctx context.Context, prefix, after string) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return f.o.Store.Range(ctx, prefix, after)
 }
--- a/core/store/errors.go
+++ b/core/store/errors.go
@@ -12,8 +12,9 @@
 // decoded. The same call would be answered in the same way: instead of watching on, list the prefix again.
 var ErrUnusable = errors.New("store: its answer cannot be used; list the prefix again")
 
-// ErrBrokenOff is returned where a call has ended while its answer was arriving: allow more time for the next one.
-var ErrBrokenOff = errors.New("store: the call ended while its answer was arriving; allow more time")
+// ErrBrokenOff is returned where a call has ended while its answer was arriving: list the prefix again, since a watch may get the same
+// long answer once more.
+var ErrBrokenOff = errors.New("store: the call ended while its answer was arriving; list the prefix again")
 
 // ErrLeaseEnded is returned for a lease that has ended: open a new one.
 var ErrLeaseEnded = errors.New("store: lease has ended; open a new one")
--- a/router/direct.go
+++ b/router/direct.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	s := platform.NewStore(cfg.Store.Address, upstream.Dial)
+	s := platform.NewStore(cfg.Store.Address, upstream.Dial, clock)
 	a, err := direct.New(cfg, direct.Options{
 		Clock: clock, BootClock: boot, Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial,
 		Decode: direct.Decoder{Layout: platform.Layout, Config: platform.ParseConfig, Upstream: platform.ParseUpstream},
