--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -31,7 +31,9 @@
 	service   routing.Service
 	workspace ids.Workspace
 	// priority is the rank of the request; zero is the highest.
-	priority  int
+	priority int
+	// urgent is set if other requests of the service have a lower rank.
+	urgent    bool
 	body      []byte
 	arrivedAt time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
@@ -141,6 +143,7 @@
 	}
 	route := x.route
 	x.priority = cfg.Priority(route, x.workspace)
+	x.urgent = x.priority < cfg.LeastUrgent(x.service.Name)
 	x.deadline = x.arrivedAt.Add(route.Timeout)
 	if maxWait := x.req.MaxWait; maxWait > 0 && maxWait < route.Timeout {
 		x.deadline = x.arrivedAt.Add(maxWait)
