--- a/core/placement/engine_model.go
+++ b/core/placement/engine_model.go
@@ -29,19 +29,17 @@
 	PendingPrefill int
 	// Running is the number of generations, including those in prefill.
 	Running int
-	// Urgent is the number of them that are more urgent than others of their service.
-	Urgent int
 	// Memory is the number of KV cache tokens that running generations and copies occupy when complete.
 	Memory int
 }
 
 // Add returns the sum of two loads.
 func (w Work) Add(o Work) Work {
-	return Work{PendingPrefill: w.PendingPrefill + o.PendingPrefill, Running: w.Running + o.Running, Urgent: w.Urgent + o.Urgent, Memory: w.Memory + o.Memory}
+	return Work{PendingPrefill: w.PendingPrefill + o.PendingPrefill, Running: w.Running + o.Running, Memory: w.Memory + o.Memory}
 }
 
 func (w Work) negate() Work {
-	return Work{PendingPrefill: -w.PendingPrefill, Running: -w.Running, Urgent: -w.Urgent, Memory: -w.Memory}
+	return Work{PendingPrefill: -w.PendingPrefill, Running: -w.Running, Memory: -w.Memory}
 }
 
 // PrefillTime returns the time that an engine takes to process prompt tokens while it decodes nothing.
--- a/core/placement/load_tracker.go
+++ b/core/placement/load_tracker.go
@@ -33,8 +33,6 @@
 	CachedAt ids.VM
 	// Seed makes random choices among engines differ between generations.
 	Seed uint64
-	// Urgent is set if the generation is more urgent than others of its service.
-	Urgent bool
 }
 
 // random returns a pseudorandom number in (0, 1] that depends on the seed and the engine.
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -19,8 +19,6 @@
 	// engine decodes slowly while it reads the prompt. A delay in the middle of another stream counts less than one of the own
 	// first event.
 	neighbourWeight = 0.4
-	// urgentWeight is how many patient generations a delay of an urgent one outweighs.
-	urgentWeight = 4
 	// remoteCost favours the router's own failure domain: a packet lost between domains delays a stream's events by 200 ms.
 	// Queueing behind another prompt costs more than a second, which outweighs it.
 	remoteCost = 100 * time.Millisecond
@@ -115,21 +113,13 @@
 	}
 	first := m.TimeToFirstEvent(w, prompt, p.Slowness(c.ID, now))
 	neighbour := runningCost + time.Duration(neighbourWeight*float64(m.PrefillTime(prompt)))
-	cost := first + time.Duration(req.neighbours(w))*neighbour + p.bias(c)
+	cost := first + time.Duration(w.Running)*neighbour + p.bias(c)
 	if !m.Fits(w, req.Tokens()) {
 		cost += fullCost
 	}
 	return estimate{cost: cost, firstEvent: first}
 }
 
-// neighbours returns the number of running generations that a placement delays. A patient generation keeps away from urgent ones.
-func (r Request) neighbours(w Work) int {
-	if r.Urgent {
-		return w.Running
-	}
-	return w.Running + (urgentWeight-1)*w.Urgent
-}
-
 // PickCopy returns the engine that keeps the copy of a generation's KV cache: one with capacity in another failure domain,
 // and a suspected one only if there is no other. The choice is random, weighted towards free capacity: when a failure
 // domain is lost, all routers place new copies at the same moment, and the emptiest engines could not hold all of them.
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -17,9 +17,6 @@
 	r := &Reservation{
 		tracker: t, engine: engine, work: Work{PendingPrefill: req.Prompt, Running: 1, Memory: req.Tokens()}, copyWork: Work{Memory: req.Tokens()},
 	}
-	if req.Urgent {
-		r.work.Urgent = 1
-	}
 	t.add(engine, r.work)
 	r.CopyTo(copyAt)
 	return r
@@ -48,7 +45,7 @@
 
 // Release removes the generation and its copy from the LoadTracker.
 func (r *Reservation) Release() {
-	r.tracker.add(r.engine, r.work.negate())
+	r.tracker.add(r.engine, Work{PendingPrefill: -r.work.PendingPrefill, Running: -r.work.Running, Memory: -r.work.Memory})
 	r.work = Work{}
 	r.CopyTo("")
 	r.ended = true
--- a/core/routing/config.go
+++ b/core/routing/config.go
@@ -121,22 +121,17 @@
 	keyRequired bool
 	// priorities holds the priorities of the workspaces that have their own.
 	priorities map[ids.Workspace]int
-	// leastUrgent holds the rank of the least urgent route of each service.
-	leastUrgent map[ids.Service]int
 }
 
 // New returns a configuration. If keys is nil, callers need no key.
 func New(v Version, routes []Route, services []Service, keys map[string]ids.Workspace, limits Limits) *Config {
-	c := &Config{Version: v, Limits: limits, services: map[ids.Service]Service{}, byHost: map[string][]Route{}, keys: keys, keyRequired: keys != nil, leastUrgent: map[ids.Service]int{}}
+	c := &Config{Version: v, Limits: limits, services: map[ids.Service]Service{}, byHost: map[string][]Route{}, keys: keys, keyRequired: keys != nil}
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
-		for _, t := range r.Targets {
-			c.leastUrgent[t.Service] = max(c.leastUrgent[t.Service], r.Priority)
-		}
 	}
 	for _, list := range c.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -160,9 +155,6 @@
 	return r.Priority
 }
 
-// LeastUrgent returns the rank of the least urgent requests that the routes send to a service. A workspace's own rank does not change it.
-func (c *Config) LeastUrgent(s ids.Service) int { return c.leastUrgent[s] }
-
 // Match returns the route of the host with the longest prefix of the path. The case and the port of the host are ignored.
 func (c *Config) Match(host, path string) (Route, bool) {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -31,9 +31,7 @@
 	service   routing.Service
 	workspace ids.Workspace
 	// priority is the rank of the request; zero is the highest.
-	priority int
-	// urgent is set if other requests of the service have a lower rank.
-	urgent    bool
+	priority  int
 	body      []byte
 	arrivedAt time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
@@ -143,7 +141,6 @@
 	}
 	route := x.route
 	x.priority = cfg.Priority(route, x.workspace)
-	x.urgent = x.priority < cfg.LeastUrgent(x.service.Name)
 	x.deadline = x.arrivedAt.Add(route.Timeout)
 	if maxWait := x.req.MaxWait; maxWait > 0 && maxWait < route.Timeout {
 		x.deadline = x.arrivedAt.Add(maxWait)
--- a/router/direct/run_place.go
+++ b/router/direct/run_place.go
@@ -20,7 +20,7 @@
 	if u, ok := s.resumeHost(list, now); ok {
 		r.upstream = u
 		r.resumeFrom, s.resumeCopy = s.resumeCopy, nil
-		placementReq = placement.Request{Context: placementReq.Prompt, Output: placementReq.Output, Urgent: placementReq.Urgent}
+		placementReq = placement.Request{Context: placementReq.Prompt, Output: placementReq.Output}
 	} else {
 		c, predicted, ok := s.picker.Pick(list.candidates, placementReq, s.model, now)
 		if !ok {
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -89,9 +89,7 @@
 
 // placementRequest returns the request's generation for the placement on an engine.
 func (x *exchange) placementRequest() placement.Request {
-	return placement.Request{
-		Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Seed: rand.Uint64(), Urgent: x.urgent,
-	}
+	return placement.Request{Prompt: x.req.Prompt.Tokens, Output: x.req.Prompt.MaxOutput, Seed: rand.Uint64()}
 }
 
 // engineModel returns the cost model of the service's engines.
--- a/router/direct/updates.go
+++ b/router/direct/updates.go
@@ -52,7 +52,6 @@
 		r := row(id)
 		r.UnreadTokens = uint32(max(0, work.PendingPrefill))
 		r.Running = uint32(max(0, work.Running))
-		r.Urgent = uint32(max(0, work.Urgent))
 		r.MemoryTokens = uint32(max(0, work.Memory))
 	}
 	for id, slowness := range st.picker.SlowEngines(now) {
@@ -98,9 +97,7 @@
 	var failing []ids.VM
 	for _, r := range n.GetWork() {
 		id := ids.VM(r.GetUpstream())
-		work[id] = placement.Work{
-			PendingPrefill: int(r.GetUnreadTokens()), Running: int(r.GetRunning()), Urgent: int(r.GetUrgent()), Memory: int(r.GetMemoryTokens()),
-		}
+		work[id] = placement.Work{PendingPrefill: int(r.GetUnreadTokens()), Running: int(r.GetRunning()), Memory: int(r.GetMemoryTokens())}
 		if r.GetCalls() > 0 {
 			calls[id] = int(r.GetCalls())
 		}
