--- a/core/placement/call_picker.go
+++ b/core/placement/call_picker.go
@@ -78,6 +78,19 @@
 	c.reports[id] = loadReport{at: now, busy: busy, slowness: slowness, ownAtReport: c.own[id]}
 }
 
+// QueuedPerSlot returns how many calls wait at the upstreams with the given slots, as far as their reports say, per slot of all of them.
+// Calls that wait at one of them while others are free do not count as a lack of room.
+func (c *CallPicker) QueuedPerSlot(slots map[ids.VM]int, now time.Time) float64 {
+	queued, total := 0, 0
+	for id, n := range slots {
+		total += n
+		if r, known := c.reports[id]; known && now.Sub(r.at) < reportLifetime {
+			queued += r.busy - n
+		}
+	}
+	return float64(max(0, queued)) / float64(max(1, total))
+}
+
 // Forget deletes the report and the failures of an upstream that no longer exists.
 func (c *CallPicker) Forget(id ids.VM) {
 	delete(c.reports, id)
--- a/core/placement/limiter.go
+++ b/core/placement/limiter.go
@@ -7,7 +7,7 @@
 	callsPerSlot = 3
 	// decreaseInterval is the minimum time between two decreases of the limit, so that a burst of rejections counts once.
 	decreaseInterval = 100 * time.Millisecond
-	// maxQueuedPerSlot is the number of calls that wait at an upstream, per slot, above which the limit decreases. Calls that wait at
+	// maxQueuedPerSlot is the number of calls that wait at the upstreams, per slot, above which the limit decreases. Calls that wait at
 	// the router instead are served in the order of their targets, and at whichever upstream is free first.
 	maxQueuedPerSlot = 0.25
 	// maxQueuedPaced is the same number for a limit of one or less. Routers that pause between calls do not know when the others do, so
@@ -38,7 +38,7 @@
 type CallEnd struct {
 	// Rejected is set if an upstream rejected the call because it was full.
 	Rejected bool
-	// QueuedPerSlot is the number of calls that waited at the upstream, per slot, when it answered.
+	// QueuedPerSlot is the number of calls that wait at the upstreams of the service, per slot.
 	QueuedPerSlot float64
 	// Took is the duration of the call.
 	Took time.Duration
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -84,13 +84,10 @@
 	if err := x.acquireSlot(); err != nil {
 		return nil, fleet.Upstream{}, err
 	}
-	x.queuedPerSlot = 0
 	start := x.clock.Now()
 	var err error
 	defer func() {
-		x.releaseSlot(placement.CallEnd{
-			Rejected: errors.Is(err, errUpstreamFull), QueuedPerSlot: x.queuedPerSlot, Took: x.clock.Since(start),
-		})
+		x.releaseSlot(placement.CallEnd{Rejected: errors.Is(err, errUpstreamFull), Took: x.clock.Since(start)})
 	}()
 	u, refusal := x.pickCall(tried)
 	if refusal != nil {
@@ -194,7 +191,6 @@
 	}
 	if l := reply.Load; l.Known {
 		x.calls.RecordLoad(u.ID, l.Running+l.Waiting, l.Slowness, x.clock.Now())
-		x.queuedPerSlot = float64(l.Waiting) / float64(max(1, l.Slots))
 	}
 	x.mu.Unlock()
 	if reply.NotRun {
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -49,8 +49,6 @@
 	chargedAt time.Time
 	// noConnectionSince is since when a request that has run waits for a connection, or zero if it does not.
 	noConnectionSince time.Time
-	// queuedPerSlot is the number of calls that waited at the upstream of the current attempt, per slot, when it answered.
-	queuedPerSlot float64
 	// headerSent is set once a response header has been sent to the caller.
 	headerSent bool
 }
--- a/router/direct/limiter.go
+++ b/router/direct/limiter.go
@@ -97,8 +97,14 @@
 func (x *exchange) releaseSlot(e placement.CallEnd) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	now := x.clock.Now()
+	slots := map[ids.VM]int{}
+	for _, u := range x.fleet.Usable(x.service.Name) {
+		slots[u.ID] = u.Slots
+	}
+	e.QueuedPerSlot = x.calls.QueuedPerSlot(slots, now)
 	l := x.limiter(x.service.Name)
-	l.Release(e, x.clock.Now())
+	l.Release(e, now)
 	x.scheduleAdmission(l)
 }
 
