A plain upstream that answers after the loss of engines in its domain gets calls

Cause: when several engines of a failure domain are lost, all its upstreams are avoided until they answer. Losses are noticed for one to two seconds, and each restarted that; a plain upstream of the domain that got no calls for that reason gave no sign of life either. Change: what has answered since the first loss of the burst was not lost with the others; one that has not is asked, at most every 300 ms by a router. Engines are treated as before.

--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -22,6 +22,10 @@
 const (
 	// domainWindow is the period within which losses in one failure domain are counted together.
 	domainWindow = time.Second
+	// answerDelay is how long before it was read an answer may have been sent.
+	answerDelay = 50 * time.Millisecond
+	// checkInterval is the least time between two questions to an upstream that is suspected with its failure domain.
+	checkInterval = 300 * time.Millisecond
 	// domainLossThreshold is the number of losses within domainWindow from which a failure domain is suspected.
 	domainLossThreshold = 2
 	// suspicionTTL is how long another router's report of a loss is used, unless the upstream answers earlier. An upstream
@@ -45,6 +49,8 @@
 	suspectedAt time.Time
 	// answeredAt is when an answer of it was last read.
 	answeredAt time.Time
+	// checkedAt is when it was last asked because its failure domain is suspected.
+	checkedAt time.Time
 	// aliveAt is the latest time at which it is known to have been alive: when the last request that it has answered was sent.
 	aliveAt boottime.Instant
 	// probedAt is when it was last probed while unavailable.
@@ -70,6 +76,8 @@
 	byAddress map[string]ids.VM
 	// losses holds the times of the recent losses in each failure domain.
 	losses map[ids.FailureDomain][]time.Time
+	// lossBegan holds the time of the first of these losses.
+	lossBegan map[ids.FailureDomain]time.Time
 	// storeRecoveredAt is when the store became reachable again, zero before its first recovery.
 	storeRecoveredAt time.Time
 	storeDown        bool
@@ -88,7 +96,7 @@
 // it are kept.
 func New(reregisterTime, minOutage time.Duration) *Directory {
 	return &Directory{
-		reregisterTime: reregisterTime, minOutage: minOutage, upstreams: map[ids.VM]*Upstream{}, byAddress: map[string]ids.VM{}, losses: map[ids.FailureDomain][]time.Time{},
+		reregisterTime: reregisterTime, minOutage: minOutage, upstreams: map[ids.VM]*Upstream{}, byAddress: map[string]ids.VM{}, losses: map[ids.FailureDomain][]time.Time{}, lossBegan: map[ids.FailureDomain]time.Time{},
 		usable: map[ids.Service][]*Upstream{}, departed: map[ids.VM]departure{}, returned: map[ids.VM]returnedEntry{},
 		replaced: map[ids.VM]*Upstream{},
 	}
--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -25,9 +25,35 @@
 
 func (d *Directory) recordLoss(domain ids.FailureDomain, now time.Time) {
 	recent := slices.DeleteFunc(d.losses[domain], func(t time.Time) bool { return now.Sub(t) > domainWindow })
+	if len(recent) == 0 {
+		d.lossBegan[domain] = now
+	}
 	d.losses[domain] = append(recent, now)
 }
 
+// SuspectedByDomain reports whether an upstream is to be avoided for no other reason than that others of its failure domain were lost.
+func (d *Directory) SuspectedByDomain(u Upstream, now time.Time) bool {
+	own := !u.lostAt.IsZero() || now.Sub(u.suspectedAt) <= suspicionTTL && !u.answeredAt.After(u.suspectedAt)
+	return !own && d.IsSuspected(u, now)
+}
+
+// Outlived reports whether an upstream has answered after others of its failure domain were lost. Losses are noticed one after the other
+// for seconds, but what has answered since the first one was not lost with them.
+func (d *Directory) Outlived(u Upstream) bool {
+	return u.answeredAt.After(d.lossBegan[u.Domain].Add(answerDelay))
+}
+
+// ClaimCheck reports whether an upstream that is suspected with its failure domain is to be asked whether it is alive, and records that it
+// is being asked.
+func (d *Directory) ClaimCheck(id ids.VM, now time.Time) bool {
+	u, known := d.upstreams[id]
+	if !known || now.Sub(u.checkedAt) < checkInterval {
+		return false
+	}
+	u.checkedAt = now
+	return true
+}
+
 // MarkSuspected records another router's report that an upstream is unreachable, and reports whether the suspicion is new.
 func (d *Directory) MarkSuspected(id ids.VM, started int64, now time.Time) bool {
 	u, known := d.upstreams[id]
--- a/router/direct/candidates.go
+++ b/router/direct/candidates.go
@@ -38,7 +38,7 @@
 	all := x.fleet.Usable(x.service.Name)
 	list := candidateList{candidates: make([]placement.Candidate, 0, min(len(all), maxCandidates))}
 	add := func(u *fleet.Upstream) {
-		list.candidates = append(list.candidates, placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: x.fleet.IsSuspected(*u, now)})
+		list.candidates = append(list.candidates, placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: x.suspects(*u, now)})
 		list.upstreams = append(list.upstreams, u)
 	}
 	var retried []*fleet.Upstream
@@ -68,6 +68,24 @@
 	return list
 }
 
+// suspects reports whether an upstream is to be avoided. One of a plain service that is suspected with its failure domain is asked whether
+// it is alive: the service may have few others, and while it gets no calls it gives no sign of life. The caller must hold x.state.mu.
+func (x *exchange) suspects(u fleet.Upstream, now time.Time) bool {
+	if !x.fleet.IsSuspected(u, now) {
+		return false
+	}
+	if x.service.Engine != nil || !x.fleet.SuspectedByDomain(u, now) {
+		return true
+	}
+	if x.fleet.Outlived(u) {
+		return false
+	}
+	if x.fleet.ClaimCheck(u.ID, now) {
+		x.confirm(u)
+	}
+	return true
+}
+
 // drawUpstreams returns all upstreams, or maxCandidates of them if they are more, in their order. The drawn ones follow each
 // other at an even distance from a random start, and the preferred one is always among them.
 func drawUpstreams(all []*fleet.Upstream, preferred ids.VM) []*fleet.Upstream {
