An upstream is avoided by all routers only if an eighth of them has ejected it

Change: the word of other routers counts if at least one in eight of them has ejected the upstream; in a small fleet one is enough as before, and what fails every call is ejected by each router that uses it. Test: core/placement, an upstream that some of many routers have ejected; it failed before.

--- a/core/placement/call_picker.go
+++ b/core/placement/call_picker.go
@@ -14,6 +14,10 @@
 	// remoteCallCost favours the router's own failure domain, since bytes and round trips between domains are costly. It is
 	// given in calls in flight.
 	remoteCallCost = 0.35
+	// routersPerEjection is the number of other routers of which one must have ejected an upstream. If one call in seven fails through no
+	// fault of the upstream, one of two dozen routers sees three in a row every few seconds, which must not cost all of them a part
+	// of the service's room; an upstream that fails every call is ejected by each router that uses it.
+	routersPerEjection = 8
 	// suspectCallCost ranks ejected upstreams and those of a suspected failure domain behind all others. It is given in
 	// calls in flight.
 	suspectCallCost = 100
@@ -130,21 +134,26 @@
 	if u.Domain != c.domain {
 		cost += remoteCallCost
 	}
-	if u.Suspect || c.ejectedByAny(u.ID, now) {
+	if u.Suspect || c.ejected(u.ID, now) {
 		cost += suspectCallCost
 	}
 	return cost
 }
 
-// ejectedByAny reports whether this router or another one has ejected an upstream.
-func (c *CallPicker) ejectedByAny(id ids.VM, now time.Time) bool {
+// ejected reports whether this router has ejected an upstream, or a part of the others large enough that it is no chance.
+func (c *CallPicker) ejected(id ids.VM, now time.Time) bool {
 	if c.isEjected(id, now) {
 		return true
 	}
+	routers, ejecting := 0, 0
 	for _, peer := range c.peers {
-		if now.Sub(peer.at) < reportLifetime && slices.Contains(peer.ejected, id) {
-			return true
+		if now.Sub(peer.at) >= reportLifetime {
+			continue
+		}
+		routers++
+		if slices.Contains(peer.ejected, id) {
+			ejecting++
 		}
 	}
-	return false
+	return ejecting > 0 && ejecting*routersPerEjection >= routers
 }
--- a/core/placement/call_picker_test.go
+++ b/core/placement/call_picker_test.go
@@ -67,6 +67,25 @@
 		Expect(simulate(true, false)).To(BeNumerically("<=", 12))
 		Expect(simulate(true, true)).To(BeNumerically("<=", 9))
 	})
+	// Guards against the loss of a service's room by chance: one router that sees three failures in a row made all others avoid the upstream.
+	It("avoids an upstream that some of many routers have ejected only if that is no chance", func() {
+		picks := func(routers, ejecting int) ids.VM {
+			c := placement.NewCallPicker("0")
+			for i := range routers {
+				var ejected []ids.VM
+				if i < ejecting {
+					ejected = []ids.VM{"e0"}
+				}
+				c.UpdatePeer(ids.VM(fmt.Sprintf("r%d", i)), nil, ejected, start)
+			}
+			u, _ := c.Pick(engines(3), slots, start)
+			return u.ID
+		}
+		Expect(picks(23, 1)).To(Equal(ids.VM("e0")))
+		Expect(picks(23, 2)).To(Equal(ids.VM("e0")))
+		Expect(picks(23, 3)).NotTo(Equal(ids.VM("e0")))
+		Expect(picks(3, 1)).NotTo(Equal(ids.VM("e0")), "in a small fleet one other router is a large part")
+	})
 	It("rarely ejects upstreams if one in seven lookups fails through no fault of theirs", func() {
 		rng := rand.New(rand.NewPCG(3, 4))
 		c := placement.NewCallPicker("0")
