--- /dev/null
+++ b/core/connlimit/suite_test.go
@@ -0,0 +1,9 @@
+package connlimit_test
+
+import (
+	"testing"
+
+	"bilberrylug.dev/core/testkit"
+)
+
+func TestConnlimit(t *testing.T) { testkit.Run(t, "connlimit") }
--- a/core/memory/account.go
+++ b/core/memory/account.go
@@ -11,8 +11,9 @@
 //	a := memory.New(20 << 20)
 //	h := a.Open(cutRead, now)
 //	defer h.Release()
-//	for _, shed := range a.Grow(h, 4096, now) { // before the bytes are stored
-//		shed.Notify() // h itself may be among them: its bytes are not granted
+//	shed, granted := a.Grow(h, 4096, now) // before the bytes are stored
+//	for _, s := range shed {
+//		s.Notify()
 //	}
 //	if !h.Complete() { return errShed }
 package memory
@@ -32,7 +33,7 @@
 	// reserveShare is the part of the capacity that only first parts may use, as a divisor.
 	reserveShare = 4
 	// maxLeavingLarge and maxLeavingSmall are the parts of the capacity, as divisors, that shed holders may still hold while other holders
-	// grow, beyond their first part and within it. Shed holders release as soon as they are scheduled, which takes long on a busy CPU.
+	// grow, beyond their first part and within it. Shed holders release as soon as they are scheduled, which may take long on a busy CPU.
 	maxLeavingLarge, maxLeavingSmall = 4, 2
 	// idleFloor is added to the time since a holder's last progress. Without it a holder of any size that has just made progress would
 	// rank after a tiny one.
@@ -79,29 +80,33 @@
 	return h
 }
 
-// Grow reserves bytes that arrive for a holder. It returns the holders that are shed for them, which the caller has to notify. If h is
-// among them, it is the only one, and the bytes are not reserved. A complete holder that asks for more than there is keeps what it has.
-func (a *Account) Grow(h *Holder, n Bytes, now time.Time) (shed []*Holder) {
+// Grow reserves bytes that arrive for a holder, and reports whether they are granted. It returns the holders that are shed for them, which
+// the caller has to notify. If h is among them, it is the only one. If the bytes are not granted and h is not shed, there is room once
+// the shed holders have released. A complete holder that asks for more than there is keeps what it has.
+func (a *Account) Grow(h *Holder, n Bytes, now time.Time) (shed []*Holder, granted bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if h.state == isShed || h.state == released {
-		return []*Holder{h}
+		return []*Holder{h}, false
 	}
-	for !a.fits(h, n) {
+	for a.full(h, n) {
 		worst := a.worst(h, n, now)
 		if worst == nil || worst == h {
 			a.restore(shed)
 			if h.state == incomplete {
 				a.shed(h)
 			}
-			return []*Holder{h}
+			return []*Holder{h}, false
 		}
 		a.shed(worst)
 		shed = append(shed, worst)
 	}
+	if a.leaving > a.maxLeaving(h, n) {
+		return shed, false
+	}
 	h.progressAt = now
 	a.add(h, n)
-	return shed
+	return shed, true
 }
 
 // ShedSlowest sheds the incomplete holder that has made no progress for the longest time, and returns it, or nil if there is none.
@@ -120,34 +125,35 @@
 	return slowest
 }
 
-// fits reports whether n more bytes of a holder fit.
-func (a *Account) fits(h *Holder, n Bytes) bool {
-	if a.held+n > a.capacity {
-		return false
-	}
+// full reports whether holders have to be shed for n more bytes of a holder.
+func (a *Account) full(h *Holder, n Bytes) bool { return a.held+n > a.capacity || a.fullOfLarge(h, n) }
+
+// fullOfLarge reports whether n more bytes of a holder are beyond its first part and would take room of the reserve.
+func (a *Account) fullOfLarge(h *Holder, n Bytes) bool {
 	more := beyondFirst(h.held+n) - beyondFirst(h.held)
-	if more == 0 {
-		return a.leaving <= a.capacity/maxLeavingSmall
+	return more > 0 && a.beyond+more > a.capacity-a.capacity/reserveShare
+}
+
+// maxLeaving returns how much shed holders may still hold while a holder grows by n bytes.
+func (a *Account) maxLeaving(h *Holder, n Bytes) Bytes {
+	if h.held+n > FirstPart {
+		return a.capacity / maxLeavingLarge
 	}
-	return a.beyond+more <= a.capacity-a.capacity/reserveShare && a.leaving <= a.capacity/maxLeavingLarge
+	return a.capacity / maxLeavingSmall
 }
 
 // worst returns the holder to shed first, or nil if no holder makes room: the one for which the product of the bytes held and the time
 // without progress is largest. The holder that asks counts with the bytes that it asks for, but while it is within its first part all
 // others come before it: a small body that arrives at once is never refused because many others arrive beside it.
 func (a *Account) worst(asking *Holder, n Bytes, now time.Time) *Holder {
-	// Shedding frees room, but not what shed holders still hold. Room in the reserve is of no use if larger bodies' room is short.
-	more := beyondFirst(asking.held+n) - beyondFirst(asking.held)
-	large := more > 0 && a.beyond+more > a.capacity-a.capacity/reserveShare
-	if a.held+n <= a.capacity && !large {
-		return nil
-	}
+	// Room in the reserve is of no use if larger bodies' room is short.
+	large := a.fullOfLarge(asking, n)
 	var worst *Holder
 	most := 0.0
 	for h := range a.incomplete {
 		held, since := h.held, now.Sub(h.progressAt)
 		if h == asking {
-			if more == 0 {
+			if held+n <= FirstPart {
 				continue
 			}
 			held, since = h.held+n, 0
--- a/core/memory/load_test.go
+++ b/core/memory/load_test.go
@@ -41,10 +41,14 @@
 
 // receive adds bytes to a body and reports whether it is still there.
 func (l *load) receive(h *memory.Holder, n memory.Bytes) bool {
-	for _, s := range l.account.Grow(h, n, l.now) {
-		l.shed[s] = true
-		delete(l.open, s)
-		s.Release()
+	for granted := false; !granted && l.open[h]; {
+		var shed []*memory.Holder
+		shed, granted = l.account.Grow(h, n, l.now)
+		for _, s := range shed {
+			l.shed[s] = true
+			delete(l.open, s)
+			s.Release()
+		}
 	}
 	l.most = max(l.most, l.account.Held())
 	return l.open[h]
@@ -144,7 +148,7 @@
 		Expect(h.Complete()).To(BeTrue())
 		Expect(l.shed).To(BeEmpty())
 	})
-	It("a stalled caller of many bodies that are not released yet cannot grow without bound", func() {
+	It("bodies that are shed and not released yet stay within a bound", func() {
 		a := memory.New(siteCapacity)
 		now := time.Unix(0, 0)
 		for i := range 2000 {
--- a/core/memory/property_test.go
+++ b/core/memory/property_test.go
@@ -46,10 +46,10 @@
 func (m *machine) grow(t *rapid.T) {
 	h := m.draw(t)
 	n := memory.Bytes(rapid.IntRange(1, 200<<10).Draw(t, "bytes"))
-	shed := m.account.Grow(h.Holder, n, m.now)
+	shed, granted := m.account.Grow(h.Holder, n, m.now)
 	refused := slices.Contains(shed, h.Holder)
-	if refused && len(shed) > 1 {
-		t.Fatal("others were shed for a holder that was refused")
+	if refused && (granted || len(shed) > 1) {
+		t.Fatal("others were shed for a holder that was refused, or it was refused and granted")
 	}
 	for _, s := range shed {
 		o := m.find(s)
@@ -64,7 +64,7 @@
 	if h.complete && h.Shed() {
 		t.Fatal("a complete holder was shed as it asked for more")
 	}
-	if !refused {
+	if granted {
 		h.held += n
 		h.progressAt = m.now
 	}
