Bodies, large headers and connections of callers are bounded together

Cause: each body was read whole, bounded by itself only, by io.ReadAll; headers and connections had no bound together. Change: bodies and headers beyond 4 KiB are reserved in core/memory, in parts of 64 KiB. Incomplete ones are shed with 503 and Retry-After, and their connections closed; a Content-Length over the limit gets 413 at the header. The rest of a refused body is read for 2 s at most, a refusal written for 5 s. Write deadlines are no longer lifted before the answer is flushed. Callers' connections are bounded by memory and by the new max_descriptors; idle ones and slow headers are closed first. Readiness, metrics and the other routers' listeners have bounds, callers' kernel buffers fixed sizes.

--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -23,6 +23,7 @@
 	"github.com/labstack/echo/v4"
 
 	"bilberrylug.dev/core/boottime"
+	"bilberrylug.dev/core/connlimit"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
@@ -138,30 +139,42 @@
 	mux := echo.New()
 	mux.GET("/metrics", func(c echo.Context) error { a.state.metrics.Write(c.Response()); return nil })
 	readiness := &http.Server{
-		Handler: http.HandlerFunc(a.serveReadiness), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: http.HandlerFunc(a.serveReadiness), ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	metrics := &http.Server{
+		Handler: mux, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	metrics := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	failed := make(chan error, 4)
 	var callersListener net.Listener
 	for address, server := range map[string]*http.Server{
 		a.cfg.Callers: callers, a.cfg.Readiness: readiness, a.cfg.metricsAddress(): metrics,
 	} {
-		l, err := listen(ctx, address)
+		var control controlFunc
+		if server == callers {
+			control = limitBuffers
+		}
+		l, err := listen(ctx, address, control)
 		if err != nil {
 			return err
 		}
-		if server == callers {
+		switch server {
+		case callers:
 			l = a.handler.conns.listener(l)
 			callersListener = l
+		case readiness:
+			l = connlimit.New(l, readinessBound, a.opts.Clock)
+		case metrics:
+			l = connlimit.New(l, metricsBound, a.opts.Clock)
 		}
 		a.group.Go(func(context.Context) { serve(server, l, failed) })
 	}
-	peers, err := listen(ctx, a.cfg.peersListen())
+	peers, err := listen(ctx, a.cfg.peersListen(), nil)
 	if err != nil {
 		return err
 	}
 	a.group.Go(func(ctx context.Context) {
-		if err := rpc.Serve(ctx, peers, settings.TLS{}, a.opts.Log.Panic, a.broadcaster.Register); err != nil {
+		if err := rpc.Serve(ctx, connlimit.New(peers, peerBound, a.opts.Clock), settings.TLS{}, a.opts.Log.Panic, a.broadcaster.Register); err != nil {
 			failed <- err
 		}
 	})
@@ -199,8 +212,8 @@
 	return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == own })
 }
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	var lc net.ListenConfig
+func listen(ctx context.Context, address string, control controlFunc) (net.Listener, error) {
+	lc := net.ListenConfig{Control: control}
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.SettingsInvalid, err, "listen %s", address)
@@ -214,9 +227,10 @@
 	}
 }
 
-// expire removes expired upstreams and idle connections, and updates which routers are present.
+// expire removes expired upstreams and idle connections, updates which routers are present, and reports what was shed of callers.
 func (a *App) expire() {
 	a.state.expireUpstreams()
+	a.state.callerMemory.report(a.handler.conns.count())
 	a.state.setPeers(slices.Collect(maps.Keys(a.broadcaster.Peers())), a.broadcaster.LongestInterval())
 }
 
--- a/router/direct/caller_conn.go
+++ b/router/direct/caller_conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,12 +13,15 @@
 	"golang.org/x/sys/unix"
 
 	"bilberrylug.dev/core/event"
+	"bilberrylug.dev/core/memory"
 )
 
 // callerConn is the connection of a caller.
 type callerConn struct {
 	net.Conn
 	conns *callerConns
+	// leaving is set once the connection is about to be closed.
+	leaving atomic.Bool
 
 	mu sync.Mutex
 	// current is the limit in force, or noLimit while a request is served, and timer its timer, or nil.
@@ -29,6 +33,12 @@
 	begun bool
 	// expired is set once a limit has ended the wait for a request.
 	expired bool
+	// since is when the limit in force began.
+	since time.Time
+	// header is the size of the header that is being read or was read last.
+	header headerSize
+	// holder is the place of a large header in the account of callers' memory, or nil.
+	holder *memory.Holder
 }
 
 // Read implements [net.Conn]. The first bytes after an idle time belong to the next header. A deadline does not cut a request that
@@ -45,7 +55,11 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.begun = true
+		if c.current != noLimit {
+			c.countHeader(p[:n])
+		}
 		if c.expired {
+			c.setLeaving(false)
 			c.expired = false
 			if err := c.SetReadDeadline(c.conns.clock.Now().Add(headerTimeout)); err != nil {
 				return n, err
@@ -91,6 +105,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun = false
+	c.releaseHeader()
 	c.setLimit(limitIdle)
 }
 
@@ -116,7 +131,7 @@
 		c.timer.Stop()
 	}
 	c.set++
-	c.current, c.timer = l, nil
+	c.current, c.timer, c.since = l, nil, c.conns.clock.Now()
 	d := c.duration(l)
 	if d <= 0 {
 		return
--- a/router/direct/caller_conns.go
+++ b/router/direct/caller_conns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
 
@@ -21,6 +22,11 @@
 	clock  clockwork.Clock
 	log    *event.Log
 	limits func() routing.Limits
+	// memory accounts for large headers, and sheds bodies that arrive if all connections have one.
+	memory *callerMemory
+	// bound is the number of connections, zero for no bound. leaving counts the open ones that are about to be closed.
+	bound   int
+	leaving atomic.Int64
 
 	mu   sync.Mutex
 	open map[*callerConn]struct{}
@@ -28,7 +34,7 @@
 
 func newCallerConns(st *state) *callerConns {
 	return &callerConns{
-		clock: st.clock, log: st.log, open: map[*callerConn]struct{}{},
+		clock: st.clock, log: st.log, open: map[*callerConn]struct{}{}, memory: st.callerMemory, bound: st.callerBound,
 		limits: func() routing.Limits {
 			if cfg := st.config.Load(); cfg != nil {
 				return cfg.Limits
@@ -46,17 +52,19 @@
 	conns *callerConns
 }
 
-// Accept implements [net.Listener].
+// Accept implements [net.Listener]. A connection for which there is no room is closed at once.
 func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		cc := &callerConn{Conn: conn, conns: l.conns, current: limitHeader, since: l.conns.clock.Now()}
+		if l.conns.add(cc) {
+			return cc, nil
+		}
+		_ = conn.Close()
 	}
-	cc := &callerConn{Conn: conn, conns: l.conns, current: limitHeader}
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	l.conns.open[cc] = struct{}{}
-	return cc, nil
 }
 
 // snapshot returns the open connections.
@@ -109,11 +117,11 @@
 	case http.StateIdle:
 		cc.idle()
 	case http.StateClosed:
-		cc.limit(noLimit)
+		cc.end()
 		_ = cc.Conn.Close()
 		c.forget(cc)
 	case http.StateHijacked:
-		cc.limit(noLimit)
+		cc.end()
 		c.forget(cc)
 	}
 }
@@ -121,7 +129,7 @@
 // headerRead stops the time limit for the header of a request.
 func (c *callerConns) headerRead(r *http.Request) {
 	if cc, ok := r.Context().Value(connKey{}).(*callerConn); ok {
-		cc.limit(noLimit)
+		cc.headerRead()
 	}
 }
 
--- a/router/direct/control.go
+++ b/router/direct/control.go
@@ -35,7 +35,7 @@
 	sentAt := h.boot.Now()
 	//nolint:bodyclose // The connection owns the body: Release or Close ends it.
 	resp, err := conn.Do(ctx, upstream.Request{
-		Method: call.Method, Target: call.Target, Host: u.Address, Header: call.Header, Body: call.Body,
+		Method: call.Method, Target: call.Target, Host: u.Address, Header: call.Header, Body: [][]byte{call.Body},
 		Mismatched: func(r *http.Response) bool { return h.dialect.Reply(r).Request != "" },
 	})
 	if err != nil {
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"time"
 
@@ -15,6 +14,7 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/memory"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/router/upstream"
@@ -31,9 +31,11 @@
 	service   routing.Service
 	workspace ids.Workspace
 	// priority is the rank of the request; zero is the highest.
-	priority  int
-	body      []byte
-	arrivedAt time.Time
+	priority int
+	// body is the request's body in parts, bodyHolder its place in the account of callers' memory, or nil if there is no body.
+	body       [][]byte
+	bodyHolder *memory.Holder
+	arrivedAt  time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
 	// mayHaveRun is set once an upstream may have started to process the request.
@@ -75,7 +77,9 @@
 	if h.shutdown.stopping() || h.schedDelay.high.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	defer x.releaseBody()
 	if err := x.admit(); err != nil {
+		x.limitRefusal()
 		x.refuse(err)
 		return
 	}
@@ -83,7 +87,7 @@
 	defer cancel()
 	x.ctx = ctx
 	defer x.releaseAnswers()
-	defer x.limitWriting()()
+	x.limitWriting(x.deadline.Add(writeMargin))
 	h.mu.Lock()
 	h.budget.RecordRequest(x.service.Name, x.arrivedAt)
 	h.rateLimits.RecordRequest(x.service.Name, x.arrivedAt)
@@ -167,54 +171,17 @@
 	return nil
 }
 
-func (x *exchange) readBody(limit int64) error {
-	if x.r.ContentLength == 0 {
-		return nil
-	}
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	rc := http.NewResponseController(x.w)
-	if err := rc.SetReadDeadline(x.deadline); err != nil {
-		return fault.Wrap(fault.Internal, err, "set the time limit of the body")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return fault.New(fault.BodyTimeout, "after %s", x.clock.Since(x.arrivedAt))
-	}
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		return fault.Wrap(fault.Internal, err, "lift the time limit of the body")
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fault.New(fault.BodyTooLarge, "more than %d bytes", limit)
-	}
-	if err != nil {
-		return fault.Wrap(fault.BadRequest, err, "incomplete request body")
-	}
-	x.body = body
-	return nil
-}
-
-// limitWriting bounds the time for which a caller that does not read may hold the exchange. It returns a function that lifts
-// the limit for the next request on the connection.
-func (x *exchange) limitWriting() func() {
-	rc := http.NewResponseController(x.w)
-	set := func(at time.Time) {
-		if err := rc.SetWriteDeadline(at); err != nil {
-			x.log.Write(event.TimeLimitFailed, "request", x.req.ID, "error", err.Error())
-		}
+// limitWriting bounds the time for which a caller that does not read may hold the exchange. [http.Server] lifts the limit once the
+// answer has been flushed, which it does after the handler has returned.
+func (x *exchange) limitWriting(until time.Time) {
+	if err := http.NewResponseController(x.w).SetWriteDeadline(until); err != nil {
+		x.log.Write(event.TimeLimitFailed, "request", x.req.ID, "error", err.Error())
 	}
-	set(x.deadline.Add(writeMargin))
-	return func() { set(time.Time{}) }
 }
 
 // writeMargin is the time after a request's deadline for which its answer may still be written.
 const writeMargin = 2 * time.Second
 
-// defaultBodyBytes bounds the request body if the configuration sets no limit.
-const defaultBodyBytes = 4 << 20
-
 // outgoing returns the request to send to an upstream for the given attempt.
 func (x *exchange) outgoing(a relay.Attempt) upstream.Request {
 	h := x.req.Header.Clone()
@@ -238,9 +205,7 @@
 	if x.mayHaveRun && f.Kind.Claim == fault.NotRun {
 		f = fault.Wrap(fault.CallOutcomeUnknown, f, "sent to %d upstreams", x.attempts)
 	}
-	x.log.Write(event.RequestRefused, "request", x.req.ID, "workspace", x.workspace, "route", x.route.Name,
-		"number", f.Kind.Number, "status", f.Kind.Status, "detail", f.Detail, "attempts", x.attempts, "may_have_run", x.mayHaveRun,
-		"held", x.clock.Since(x.arrivedAt).String(), "config_version", uint64(x.configVersion()))
+	x.logRefusal(f)
 	x.metrics.Counter("requests_refused", "code", string(f.Kind.Code)).Inc(1)
 	x.dialect.Refuse(x.w.Header(), x.req, f.Kind.RetryAfter)
 	x.w.Header().Set("Content-Type", "application/json")
@@ -248,6 +213,16 @@
 	_, _ = io.WriteString(x.w, `{"code":"`+string(f.Kind.Code)+`","number":"`+f.Kind.Number+`"}`)
 }
 
+// logRefusal logs a refusal. Bodies that do not fit are many at a time and have one line together, which [callerMemory] writes.
+func (x *exchange) logRefusal(f *fault.Error) {
+	if f.Kind.Code == fault.MemoryLimit {
+		return
+	}
+	x.log.Write(event.RequestRefused, "request", x.req.ID, "workspace", x.workspace, "route", x.route.Name,
+		"number", f.Kind.Number, "status", f.Kind.Status, "detail", f.Detail, "attempts", x.attempts, "may_have_run", x.mayHaveRun,
+		"held", x.clock.Since(x.arrivedAt).String(), "config_version", uint64(x.configVersion()))
+}
+
 // copyHeader copies an upstream's response header to the caller's, except for the headers of the connection. It suppresses
 // the Date and Content-Type headers that net/http would add if the upstream sent none.
 func (x *exchange) copyHeader(resp *http.Response) {
--- a/router/direct/reload.go
+++ b/router/direct/reload.go
@@ -49,5 +49,6 @@
 	a.state.mu.Unlock()
 	a.shutdown.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
 	setMemoryLimit(cfg)
+	a.state.callerMemory.account.SetCapacity(bodyMemory(cfg.MemoryMegabytes))
 	a.opts.Log.SetLevel(cfg.Level())
 }
--- a/router/direct/settings.go
+++ b/router/direct/settings.go
@@ -43,6 +43,8 @@
 	Upstreams           Upstreams `yaml:"upstreams"`
 	// MemoryMegabytes is the memory available to the process, in MiB. Zero sets no limit.
 	MemoryMegabytes int64 `yaml:"memory_megabytes"`
+	// MaxDescriptors is the number of file descriptors of the process. Zero sets no limit.
+	MaxDescriptors int `yaml:"max_descriptors"`
 	// LinkMegabits is the rate of the VM's link in megabits per second, CPUShare the share of a core that the process gets.
 	// Zero means that they are not limited.
 	LinkMegabits     float64 `yaml:"link_megabits"`
@@ -123,6 +125,8 @@
 		return fault.New(fault.SettingsInvalid, "stop_seconds must be greater than zero")
 	case s.LinkMegabits < 0 || s.CPUShare < 0:
 		return fault.New(fault.SettingsInvalid, "link_megabits and cpu_share must be at least zero")
+	case s.MaxDescriptors < 0:
+		return fault.New(fault.SettingsInvalid, "max_descriptors must be at least zero")
 	case s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.WindowSeconds < minRetryWindowSeconds:
 		return fault.New(fault.SettingsInvalid, "retries.window_seconds must be at least %v, ratio and slack at least zero", minRetryWindowSeconds)
 	case min(s.Upstreams.MaxHeaderBytes, s.Upstreams.MaxDiscardedBytes, s.Upstreams.MaxAnswerBytes, int64(s.Upstreams.MaxEventBytes)) < 0:
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -48,6 +48,9 @@
 	pool    *upstream.Pool
 	limits  Upstreams
 	answers *answerMemory
+	// callerMemory accounts for what callers send, callerBound bounds their connections; zero is no bound.
+	callerMemory *callerMemory
+	callerBound  int
 
 	config atomic.Pointer[routing.Config]
 	// configured is closed when the first configuration becomes active.
@@ -105,8 +108,10 @@
 
 func newState(cfg Settings, o Options) *state {
 	limits := cfg.Upstreams.withDefaults()
+	metrics := metric.New()
 	return &state{
-		clock: o.Clock, boot: o.BootClock, log: o.Log, metrics: metric.New(), decode: o.Decode,
+		clock: o.Clock, boot: o.BootClock, log: o.Log, metrics: metrics, decode: o.Decode,
+		callerMemory: newCallerMemory(cfg.MemoryMegabytes, o.Clock, o.Log, metrics), callerBound: cfg.callerBound(),
 		pool:   upstream.NewPool(o.Dial, o.Clock, limits.poolLimits()),
 		limits: limits, answers: newAnswerMemory(cfg.MemoryMegabytes),
 		fleet:      fleet.New(reregisterTime, cfg.minOutage()),
--- a/router/upstream/request.go
+++ b/router/upstream/request.go
@@ -22,7 +22,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body in parts, which are sent one after the other.
+	Body [][]byte
 	// Chunked is set if the caller sent the body with chunked encoding.
 	Chunked bool
 	// Mismatched reports whether a response belongs to another request. Such responses are read and discarded, up to
@@ -113,20 +114,31 @@
 	if err := req.Header.Write(bw); err != nil {
 		return err
 	}
+	size := 0
+	for _, part := range req.Body {
+		size += len(part)
+	}
 	switch {
 	case req.Chunked:
 		_, _ = bw.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		if len(req.Body) > 0 {
-			_, _ = bw.WriteString(strconv.FormatInt(int64(len(req.Body)), 16) + "\r\n")
-			_, _ = bw.Write(req.Body)
+		if size > 0 {
+			_, _ = bw.WriteString(strconv.FormatInt(int64(size), 16) + "\r\n")
+			writeParts(bw, req.Body)
 			_, _ = bw.WriteString("\r\n")
 		}
 		_, _ = bw.WriteString("0\r\n\r\n")
-	case len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch:
-		_, _ = bw.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n\r\n")
-		_, _ = bw.Write(req.Body)
+	case size > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut || req.Method == http.MethodPatch:
+		_, _ = bw.WriteString("Content-Length: " + strconv.Itoa(size) + "\r\n\r\n")
+		writeParts(bw, req.Body)
 	default:
 		_, _ = bw.WriteString("\r\n")
 	}
 	return bw.Flush()
 }
+
+// writeParts writes the parts of a body. The writer keeps its first error.
+func writeParts(bw *bufio.Writer, parts [][]byte) {
+	for _, part := range parts {
+		_, _ = bw.Write(part)
+	}
+}
