Listeners of routers with agents and of agents have a bound

Cause: their connections were bounded by descriptors only, and idle ones stayed open. Measured: go test ./... in router and agent passes.

--- a/agent/app/app.go
+++ b/agent/app/app.go
@@ -21,6 +21,7 @@
 	"bilberrylug.dev/agent/router"
 	"bilberrylug.dev/agent/upstream"
 	"bilberrylug.dev/core/activeconfig"
+	"bilberrylug.dev/core/connlimit"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
@@ -43,6 +44,8 @@
 	maxDrainTime = 30 * time.Minute
 	// minDrainTime is how long a stopping agent keeps running so that its leaving state reaches the routers.
 	minDrainTime = 500 * time.Millisecond
+	// metricsBound bounds the connections to the metrics.
+	metricsBound = 64
 )
 
 // App is an agent process: the server for routers, the heartbeat and the health probes.
@@ -107,6 +110,7 @@
 	if err != nil {
 		return fault.Wrap(fault.SettingsInvalid, err, "listen %s", a.cfg.Listen)
 	}
+	listener = connlimit.New(listener, connlimit.DefaultBound, a.clock)
 	failed := make(chan error, 1)
 	a.group.Go(func(ctx context.Context) {
 		if err := rpc.Serve(ctx, listener, a.cfg.TLS, a.log.Panic, a.server.Register); err != nil {
@@ -161,9 +165,14 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { a.metrics.Write(w) })
-	s := &http.Server{Addr: a.cfg.Metrics, Handler: mux, ReadHeaderTimeout: time.Minute}
+	s := &http.Server{Addr: a.cfg.Metrics, Handler: mux, ReadHeaderTimeout: connlimit.HeaderTimeout, IdleTimeout: connlimit.IdleTimeout}
 	a.group.Go(func(ctx context.Context) {
-		if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		var lc net.ListenConfig
+		l, err := lc.Listen(ctx, "tcp", a.cfg.Metrics)
+		if err == nil {
+			err = s.Serve(connlimit.New(l, metricsBound, a.clock))
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
 			a.log.Write(event.Stopped, "metrics", fmt.Sprint(err))
 		}
 	})
--- a/router/app/app.go
+++ b/router/app/app.go
@@ -20,6 +20,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"bilberrylug.dev/core/activeconfig"
+	"bilberrylug.dev/core/connlimit"
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/group"
@@ -53,6 +54,8 @@
 	refreshTimeout = 2 * time.Second
 	// idBytes is the number of random bytes in a generated ID.
 	idBytes = 12
+	// operatorsBound bounds the connections of operators.
+	operatorsBound = 64
 )
 
 // App is a router that reaches its upstreams through agents.
@@ -205,6 +208,13 @@
 	if err != nil {
 		return fault.Wrap(fault.SettingsInvalid, err, "listen for callers on %s", a.cfg.Callers)
 	}
+	operatorsListener, err := lc.Listen(ctx, "tcp", a.cfg.Operators)
+	if err != nil {
+		return fault.Wrap(fault.SettingsInvalid, err, "listen for operators on %s", a.cfg.Operators)
+	}
+	listener = connlimit.New(listener, connlimit.DefaultBound, a.clock)
+	callersListener = connlimit.New(callersListener, connlimit.DefaultBound, a.clock)
+	operatorsListener = connlimit.New(operatorsListener, operatorsBound, a.clock)
 	failed := make(chan error, 3)
 	a.group.Go(func(ctx context.Context) {
 		if err := rpc.Serve(ctx, listener, a.cfg.TLS, a.log.Panic, a.server.Register); err != nil {
@@ -216,10 +226,10 @@
 	} {
 		a.group.Keep(a.clock, run)
 	}
-	callers := &http.Server{Addr: a.cfg.Callers, Handler: a.caller.Handler(), ReadHeaderTimeout: time.Minute}
-	operators := &http.Server{Addr: a.cfg.Operators, Handler: a.operatorHandler(), ReadHeaderTimeout: time.Minute}
+	callers := &http.Server{Addr: a.cfg.Callers, Handler: a.caller.Handler(), ReadHeaderTimeout: connlimit.HeaderTimeout, IdleTimeout: connlimit.IdleTimeout}
+	operators := &http.Server{Addr: a.cfg.Operators, Handler: a.operatorHandler(), ReadHeaderTimeout: connlimit.HeaderTimeout, IdleTimeout: connlimit.IdleTimeout}
 	a.group.Go(func(context.Context) { a.serveCallers(callers, callersListener, failed) })
-	a.group.Go(func(context.Context) { serveHTTP(operators, failed) })
+	a.group.Go(func(context.Context) { serveHTTP(operators, operatorsListener, failed) })
 	a.log.Write(event.Started, "listen", a.cfg.Listen, "callers", a.cfg.Callers)
 	select {
 	case <-ctx.Done():
@@ -245,8 +255,8 @@
 	}
 }
 
-func serveHTTP(s *http.Server, failed chan<- error) {
-	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+func serveHTTP(s *http.Server, l net.Listener, failed chan<- error) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		failed <- fault.Wrap(fault.SettingsInvalid, err, "listen %s", s.Addr)
 	}
 }
