Answers that callers do not read make room for others

What callers saw: a caller that reads nothing of a large answer held its memory until the request's deadline, and others' large answers got 502 for that time. Change: what is written to callers is accounted, up to 64 KiB of each answer or event. At the bound, and when answers that are received need the memory of one that has not been read on for 2 s, the connections that have held most for longest without progress are closed. Measured: the specs in delivery_test.go pass.

--- a/core/memory/account.go
+++ b/core/memory/account.go
@@ -109,13 +109,14 @@
 	return shed, true
 }
 
-// ShedSlowest sheds the incomplete holder that has made no progress for the longest time, and returns it, or nil if there is none.
-func (a *Account) ShedSlowest() *Holder {
+// ShedSlowest sheds the incomplete holder that has made no progress for the longest time, and none since the given time. It returns nil
+// if there is none.
+func (a *Account) ShedSlowest(since time.Time) *Holder {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var slowest *Holder
 	for h := range a.incomplete {
-		if slowest == nil || h.progressAt.Before(slowest.progressAt) {
+		if !h.progressAt.After(since) && (slowest == nil || h.progressAt.Before(slowest.progressAt)) {
 			slowest = h
 		}
 	}
--- a/router/direct/answer_memory.go
+++ b/router/direct/answer_memory.go
@@ -76,7 +76,7 @@
 // reserve reserves the memory for an answer of the given size, beyond the first step.
 func (x *exchange) reserve(size int64) error {
 	for x.reserved+answerStep < size {
-		if !x.answers.acquire(answerStep) {
+		if !x.answers.acquire(answerStep) && !x.awaitAnswerMemory() {
 			return fault.New(fault.ReplyTooLarge, "answers that are being received take more than %d bytes, a fifth of memory_megabytes",
 				x.answers.limit)
 		}
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -113,8 +113,13 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	x.w.WriteHeader(a.resp.StatusCode)
-	_, err := x.w.Write(a.body)
+	d := x.deliver(len(a.body))
+	err := d.write(a.body)
+	shed := d.end()
 	x.logEnd(a.resp.StatusCode, "bytes", len(a.body), "delivered", err == nil)
+	if shed {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // tryCall makes one attempt at an upstream and reads the complete answer.
--- a/router/direct/caller_memory.go
+++ b/router/direct/caller_memory.go
@@ -34,24 +34,27 @@
 	maxPressureSources = 64
 )
 
-// callerMemory accounts for what callers send, and reports what is shed for lack of memory or of connections.
+// callerMemory accounts for what callers send and do not read, and reports what is shed for lack of memory or of connections.
 type callerMemory struct {
 	account *memory.Account
-	clock   clockwork.Clock
-	log     *event.Log
-	metrics *metric.Registry
+	// deliveries holds what is being written to callers.
+	deliveries *memory.Account
+	clock      clockwork.Clock
+	log        *event.Log
+	metrics    *metric.Registry
 
 	mu sync.Mutex
-	// shed and closed count the bodies that were shed and the connections that were closed at their bound since the last line.
-	shed, closed int
-	// sources counts both by the address of the caller.
+	// shed, unread and closed count the bodies that were shed, the answers that were not read, and the connections that were closed at their
+	// bound, since the last line.
+	shed, unread, closed int
+	// sources counts all of them by the address of the caller.
 	sources  map[string]int
 	loggedAt time.Time
 }
 
 func newCallerMemory(megabytes int64, clock clockwork.Clock, log *event.Log, metrics *metric.Registry) *callerMemory {
 	return &callerMemory{
-		account: memory.New(bodyMemory(megabytes)), clock: clock, log: log, metrics: metrics, sources: map[string]int{},
+		account: memory.New(bodyMemory(megabytes)), deliveries: memory.New(deliveryMemory(megabytes)), clock: clock, log: log, metrics: metrics, sources: map[string]int{},
 	}
 }
 
@@ -96,6 +99,15 @@
 	m.recordSource(remote)
 }
 
+// recordUnread records that the connection of a caller that does not read was closed.
+func (m *callerMemory) recordUnread(remote string) {
+	m.metrics.Counter("answers_shed").Inc(1)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unread++
+	m.recordSource(remote)
+}
+
 // recordClosed records that the connection of a caller was closed at the bound of connections.
 func (m *callerMemory) recordClosed(remote, reason string) {
 	m.metrics.Counter("caller_connections_closed", "reason", reason).Inc(1)
@@ -124,7 +136,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	if m.shed+m.closed == 0 || now.Sub(m.loggedAt) < pressureLogInterval {
+	if m.shed+m.unread+m.closed == 0 || now.Sub(m.loggedAt) < pressureLogInterval {
 		return
 	}
 	most, count := "", 0
@@ -133,9 +145,9 @@
 			most, count = host, m.sources[host]
 		}
 	}
-	m.log.Write(event.CallersShed, "bodies", m.shed, "connections", m.closed, "most_from", most, "of_these", count,
+	m.log.Write(event.CallersShed, "bodies", m.shed, "answers", m.unread, "connections", m.closed, "most_from", most, "of_these", count,
 		"sources", len(m.sources), "held", held, "open", connections)
-	m.shed, m.closed, m.loggedAt = 0, 0, now
+	m.shed, m.unread, m.closed, m.loggedAt = 0, 0, 0, now
 	clear(m.sources)
 }
 
--- a/router/direct/conn_bound.go
+++ b/router/direct/conn_bound.go
@@ -91,7 +91,7 @@
 		}
 	}
 	if closed == 0 {
-		if h := c.memory.account.ShedSlowest(); h != nil {
+		if h := c.memory.account.ShedSlowest(c.clock.Now()); h != nil {
 			h.Notify()
 		}
 	}
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -151,10 +151,7 @@
 		return errors.New("events are missing from the stream")
 	}
 	s.sendHeader(resp)
-	if _, err := s.w.Write(e.Raw); err != nil {
-		return fmt.Errorf("%w: %w", errCallerLost, err)
-	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
+	if err := s.write(e.Raw); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLost, err)
 	}
 	now := s.clock.Now()
@@ -173,6 +170,22 @@
 	return nil
 }
 
+// write writes an event to the caller.
+func (s *stream) write(raw []byte) error {
+	d := s.deliver(len(raw))
+	err := d.write(raw)
+	if err == nil {
+		err = http.NewResponseController(s.w).Flush()
+	}
+	if d.end() && err == nil {
+		err = errUnread
+	}
+	return err
+}
+
+// errUnread ends a stream whose caller has not read for long while there was no memory for others.
+var errUnread = errors.New("the caller does not read")
+
 // sendHeader sends the response header to the caller unless an earlier run has sent it.
 func (s *stream) sendHeader(resp *http.Response) {
 	if s.headerSent {
--- a/router/direct/reload.go
+++ b/router/direct/reload.go
@@ -50,5 +50,6 @@
 	a.shutdown.limit.Store(int64(cfg.StopSeconds * float64(time.Second)))
 	setMemoryLimit(cfg)
 	a.state.callerMemory.account.SetCapacity(bodyMemory(cfg.MemoryMegabytes))
+	a.state.callerMemory.deliveries.SetCapacity(deliveryMemory(cfg.MemoryMegabytes))
 	a.opts.Log.SetLevel(cfg.Level())
 }
