Routers without agents pace upstreams that have just started or recovered, if the settings say so

Cause: a router sends an upstream that has just come back as much as one that has shown what it carries.

Change: with placement.pace, a router begins a window (core/pace) with a new start that it sees, the return from a loss of over 1.5 s, an ejection, a Retry-After pause and a start at a used address. A full window costs a generation 3 s and a call as much as all slots in use, so that the upstream comes behind those with room and is never excluded. Copies of KV caches are not limited. The room in a window is divided by chance according to the requests that the other routers take between two state updates, which the announced demands tell. Routers tell each other of their windows in News (field 26): a router that sees few of an upstream's answers would hold it back for minutes otherwise. EV3020 to EV3022, metrics upstream_windows, upstream_window_changes and requests_over_window.

Off by default.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -38,6 +38,9 @@
 	ProbeUnanswered     = Kind{"EV3011", slog.LevelInfo, "probe of an upstream unanswered", "None, unless it persists. If waited is much longer than timeout, check the router's own VM."}
 	UpstreamLimit       = Kind{"EV3012", slog.LevelInfo, "request rate that an upstream takes changed", "None, unless it persists; check the upstream's load."}
 	UpstreamHeld        = Kind{"EV3013", slog.LevelInfo, "upstream wants no requests from this router for a time", "None, unless it persists; check the upstream's load."}
+	WindowBegun         = Kind{"EV3020", slog.LevelInfo, "upstream that has just started or recovered gets few requests at first", noAction}
+	WindowDecreased     = Kind{"EV3021", slog.LevelInfo, "window of an upstream decreased", "None, unless it persists; the named reason is a sign of overload or of a faulty upstream."}
+	UpstreamEstablished = Kind{"EV3022", slog.LevelInfo, "upstream carries what its peers carry", noAction}
 	AttemptStarted      = Kind{"EV4001", slog.LevelDebug, "attempt started", noAction}
 	AttemptLost         = Kind{"EV4002", slog.LevelWarn, "attempt lost", "Check the named upstream; the answer is resumed on another one."}
 	AnswerFailed        = Kind{"EV4003", slog.LevelWarn, "answer ended with a fault", "See the fault's remedy."}
@@ -76,6 +79,7 @@
 	Started, Stopping, Stopped, Ready, Reloaded, LinesDropped, SchedulingDelayed, SchedulingRecovered, Panicked,
 	ConfigActivated, ConfigUnreadable, StoreFailed, StoreReached, ChangesPulled, ValueFetched, PullFailed, StoreRestored, ConfigOutdated,
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamRecovered, PeerChanged, UpstreamSlow, UpstreamFailing, ProbeUnanswered, UpstreamLimit, UpstreamHeld,
+	WindowBegun, WindowDecreased, UpstreamEstablished,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
 	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnded, CopyCreated, CopyFailed, CopyFreed, CopyNotFreed, PromptListFailed, RequestWaiting, PromptsReceived, TimeLimitFailed, CallerClosed, ResumeWaiting,
--- a/core/fleet/restored.go
+++ b/core/fleet/restored.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/store"
 )
 
@@ -56,6 +57,12 @@
 	d.departed[u.ID] = departure{u.Entry, u.era, now}
 }
 
+// HasLeft reports whether an upstream has left the store lately with the given start.
+func (d *Directory) HasLeft(id ids.VM, started int64) bool {
+	gone, left := d.departed[id]
+	return left && gone.Started == started
+}
+
 // holdBack reports whether an entry is one with which an upstream had left before the store returned from an older copy.
 func (d *Directory) holdBack(e Entry, era store.Era, now time.Time) bool {
 	gone, known := d.departed[e.ID]
--- a/core/placement/call_picker.go
+++ b/core/placement/call_picker.go
@@ -17,6 +17,9 @@
 	// suspectCallCost ranks ejected upstreams and those of a suspected failure domain behind all others. It is given in
 	// calls in flight.
 	suspectCallCost = 100
+	// windowCallCost ranks upstreams whose window is full behind those with a free slot, and before those at which calls wait. It is given
+	// in loads of all slots.
+	windowCallCost = 1
 )
 
 // CallPicker picks upstreams for short calls: the one with the least work relative to its slots and speed. It is not safe
@@ -99,18 +102,9 @@
 }
 
 func (c *CallPicker) cost(u Candidate, slots int, now time.Time) float64 {
-	work := float64(c.own[u.ID])
-	slowness := 1.0
-	if r, known := c.reports[u.ID]; known && now.Sub(r.at) < reportLifetime {
-		work += float64(max(0, r.busy-r.ownAtReport))
-		slowness = max(0.5, r.slowness)
-	} else {
-		for _, peer := range c.peers {
-			if now.Sub(peer.at) < reportLifetime {
-				work += float64(peer.calls[u.ID])
-			}
-		}
-	}
+	own, others := c.InFlight(u.ID, now)
+	work := float64(own + others)
+	slowness := c.ReportedSlowness(u.ID, now)
 	// Calls beyond the slots wait until another call has ended.
 	excess := max(0, work+1-float64(slots))
 	cost := slowness * (1 + work/float64(slots) + 2*excess/float64(slots))
@@ -120,9 +114,34 @@
 	if u.Suspect || c.ejectedByAny(u.ID, now) {
 		cost += suspectCallCost
 	}
+	if u.WindowFull {
+		cost += windowCallCost
+	}
 	return cost
 }
 
+// InFlight returns the calls that this router has in flight at an upstream, and those that others have as far as known.
+func (c *CallPicker) InFlight(id ids.VM, now time.Time) (own, others int) {
+	own = c.own[id]
+	if r, known := c.reports[id]; known && now.Sub(r.at) < reportLifetime {
+		return own, max(0, r.busy-r.ownAtReport)
+	}
+	for _, peer := range c.peers {
+		if now.Sub(peer.at) < reportLifetime {
+			others += peer.calls[id]
+		}
+	}
+	return own, others
+}
+
+// ReportedSlowness returns how much longer than usual calls take at an upstream by its own report, as a factor.
+func (c *CallPicker) ReportedSlowness(id ids.VM, now time.Time) float64 {
+	if r, known := c.reports[id]; known && now.Sub(r.at) < reportLifetime {
+		return max(0.5, r.slowness)
+	}
+	return 1
+}
+
 // ejectedByAny reports whether this router or another one has ejected an upstream.
 func (c *CallPicker) ejectedByAny(id ids.VM, now time.Time) bool {
 	if c.isEjected(id, now) {
--- a/core/placement/load_tracker.go
+++ b/core/placement/load_tracker.go
@@ -160,6 +160,17 @@
 	return slowness
 }
 
+// InFlight returns the generations that this router runs at an engine, and those that others run as far as known.
+func (t *LoadTracker) InFlight(id ids.VM, now time.Time) (own, others int) {
+	t.expire(now)
+	return t.own[id].Running, t.peerSum[id].Running
+}
+
+// IsSlow reports whether this router has measured an engine as slow, or another one has reported it.
+func (t *LoadTracker) IsSlow(id ids.VM, now time.Time) bool {
+	return t.Slowness(id, now) >= slowThreshold
+}
+
 // SlowEngines returns the engines that this router has measured as slow, with their slowness.
 func (t *LoadTracker) SlowEngines(now time.Time) map[ids.VM]float64 {
 	out := map[ids.VM]float64{}
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -34,6 +34,8 @@
 	fullCost = 10 * time.Second
 	// suspectCost ranks suspected engines, such as those of a suspected failure domain, behind others.
 	suspectCost = 3 * time.Second
+	// windowCost ranks engines whose window is full behind others, except those at which a prompt would wait for several others.
+	windowCost = 3 * time.Second
 )
 
 // Candidate is an engine that may be picked.
@@ -42,6 +44,8 @@
 	Domain ids.FailureDomain
 	// Suspect is set if the engine or its failure domain is suspected to be lost.
 	Suspect bool
+	// WindowFull is set if the engine has just started or recovered and has as many requests as it should get for now.
+	WindowFull bool
 }
 
 // Picker picks engines for one router. It is not safe for concurrent use.
@@ -70,8 +74,8 @@
 	return best, expected.firstEvent, true
 }
 
-// sample draws the engines that Pick considers. The engine that has the prompt in its KV cache comes first, suspected ones
-// last.
+// sample draws the engines that Pick considers. The engine that has the prompt in its KV cache comes first, suspected ones and those
+// whose window is full last.
 func (r Request) sample(list []Candidate, size int) []Candidate {
 	if len(list) <= size {
 		return list
@@ -86,7 +90,7 @@
 		switch {
 		case c.ID == r.CachedAt:
 			rank = 0
-		case c.Suspect:
+		case c.Suspect, c.WindowFull:
 			rank++
 		}
 		drawn[i] = ranked{c, rank}
@@ -153,5 +157,8 @@
 	if c.Suspect {
 		cost += suspectCost
 	}
+	if c.WindowFull {
+		cost += windowCost
+	}
 	return cost
 }
--- a/core/ratelimit/announcements.go
+++ b/core/ratelimit/announcements.go
@@ -19,6 +19,14 @@
 	a.list = append(a.list, announcement{at, demand})
 }
 
+// latest returns the demand that was announced last.
+func (a *announcements) latest() Rate {
+	if len(a.list) == 0 {
+		return 0
+	}
+	return a.list[len(a.list)-1].demand
+}
+
 // least returns the least demand that counted at some time since the given one.
 func (a *announcements) least(since time.Time) Rate {
 	for len(a.list) > 1 && !a.list[1].at.After(since) {
--- a/core/ratelimit/demand.go
+++ b/core/ratelimit/demand.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// Unseen returns about how many requests for a service the other routers take between two of their state updates.
+func (l *Limiter) Unseen(s ids.Service) float64 {
+	d, known := l.services[s]
+	if !known {
+		return 0
+	}
+	sum := Rate(0)
+	for _, a := range d.peers {
+		sum += a.latest()
+	}
+	return float64(sum) * l.interval.Seconds()
+}
+
 // sharer is a router that shares a limit, with its demand.
 type sharer struct {
 	router ids.VM
--- a/core/ratelimit/limiter_test.go
+++ b/core/ratelimit/limiter_test.go
@@ -178,3 +178,17 @@
 		})
 	}
 }
+
+var _ = Describe("the requests that other routers take unseen", func() {
+	It("are their last announced demand over the interval of state updates", func() {
+		now := time.Unix(1000, 0)
+		l := ratelimit.New("self")
+		Expect(l.Unseen("pool")).To(BeZero())
+		l.SetPeers([]ids.VM{"a", "b"}, 500*time.Millisecond)
+		l.MergeDemand("a", "pool", 4, now)
+		l.MergeDemand("a", "pool", 10, now)
+		l.MergeDemand("b", "pool", 20, now)
+		l.MergeDemand("b", "other", 20, now)
+		Expect(l.Unseen("pool")).To(BeNumerically("~", 15, 0.01))
+	})
+})
--- a/router/direct/availability.go
+++ b/router/direct/availability.go
@@ -7,6 +7,7 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/pace"
 )
 
 // markLost marks an upstream as unavailable. It wakes the streams that run on it and, if its failure domain is suspected,
@@ -92,6 +93,9 @@
 // markRecovered marks a lost upstream as available again.
 func (st *state) markRecovered(u fleet.Upstream) {
 	st.mu.Lock()
+	if current, known := st.fleet.Get(u.ID); known && current.Started == u.Started {
+		st.paceRecovered(current, st.clock.Now())
+	}
 	st.fleet.MarkRecovered(u.ID, u.Started)
 	st.mu.Unlock()
 	st.log.Write(event.UpstreamRecovered, "upstream", u.ID, "lost_for", st.clock.Since(u.LostAt()).String())
@@ -118,6 +122,7 @@
 		r := renamedUpstream{oldID: u.ID, renamedAt: now}
 		if adopted {
 			r.newID = newID
+			st.beginWindow(newID, 0, pace.Moved, now)
 		}
 		st.renamed = append(st.renamed, r)
 		return adopted
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -12,6 +12,7 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/pace"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
 )
@@ -133,7 +134,9 @@
 	if x.route.Kind == routing.Idempotent && x.runs() < x.route.MaxAttempts {
 		conn.SetStallFunc(x.attemptLimit(x.clock.Now().Add(attemptTime), u.ID, tried))
 	}
+	sentAt := x.clock.Now()
 	a, err := x.roundTrip(ctx, conn, u)
+	x.paceCall(u, a, err, x.clock.Since(sentAt))
 	if err != nil {
 		conn.Close()
 	} else if stop() {
@@ -228,7 +231,12 @@
 		return
 	}
 	failing := locked(&x.mu, func() bool {
-		return x.calls.RecordOutcome(u.ID, err != nil || a.resp.StatusCode >= http.StatusInternalServerError, x.clock.Now())
+		now := x.clock.Now()
+		ejected := x.calls.RecordOutcome(u.ID, err != nil || a.resp.StatusCode >= http.StatusInternalServerError, now)
+		if ejected {
+			x.beginWindow(u.ID, u.Started, pace.Ejected, now)
+		}
+		return ejected
 	})
 	if failing {
 		x.log.Write(event.UpstreamFailing, "upstream", u.ID, "request", x.req.ID)
--- a/router/direct/call_pick.go
+++ b/router/direct/call_pick.go
@@ -36,6 +36,10 @@
 	for _, u := range list.upstreams {
 		slots[u.ID] = u.Slots
 	}
+	x.weigh(list, func(u *fleet.Upstream) (own, others, slots int) {
+		own, others = x.calls.InFlight(u.ID, now)
+		return own, others, u.Slots
+	}, now)
 	c, ok := x.calls.Pick(list.candidates, slots, now)
 	if !ok {
 		return fleet.Upstream{}, 0, ratelimit.Charge{}, x.noUpstreamError()
@@ -43,6 +47,7 @@
 	if list.delay > 0 && !x.mayAwaitLimit(list.delay) {
 		return fleet.Upstream{}, 0, ratelimit.Charge{}, (&limitedError{list.delay}).fault()
 	}
+	x.countOverWindow(c.WindowFull)
 	x.calls.Start(c.ID)
 	return list.get(c.ID), list.delay, x.rateLimits.Take(c.ID, now), nil
 }
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -217,6 +217,7 @@
 	if r.resumeFrom == nil {
 		s.picker.RecordFirstEvent(r.upstream.ID, elapsed, r.predicted, now)
 	}
+	s.paceFirstEvent(r, elapsed, now)
 	if s.delivered == 0 {
 		s.metrics.Histogram("first_event_ms", "service", string(s.service.Name), "workspace", string(s.workspace)).
 			Update(now.Sub(s.arrivedAt).Milliseconds())
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -137,6 +137,7 @@
 		s.fleet.RecordAnswer(r.upstream, r.sentAt, r.stall.lastEventAt)
 		s.state.mu.Unlock()
 	}
+	s.paceFailedRun(r, err)
 	switch {
 	case s.callerLost(err), errors.As(err, new(*quarantineError)):
 	case errors.Is(err, errNotRun), errors.Is(err, errHung), errors.Is(err, errUpstreamSlow):
--- a/router/direct/run_place.go
+++ b/router/direct/run_place.go
@@ -32,6 +32,7 @@
 		r.delay = list.delay
 		r.upstream = list.get(c.ID)
 		r.predicted = predicted
+		s.countOverWindow(c.WindowFull)
 	}
 	if u, ok := s.pickCopyHost(r, list, now); ok {
 		r.backup = &u
@@ -81,6 +82,10 @@
 	for i, c := range list.candidates {
 		list.candidates[i].Suspect = c.Suspect || s.failedDomains[c.Domain]
 	}
+	s.weigh(list, func(u *fleet.Upstream) (own, others, slots int) {
+		own, others = s.picker.InFlight(u.ID, now)
+		return own, others, s.model.Slots
+	}, now)
 	return list
 }
 
--- a/router/direct/settings.go
+++ b/router/direct/settings.go
@@ -41,6 +41,7 @@
 	Store               Store     `yaml:"store"`
 	Retries             Retries   `yaml:"retries"`
 	Upstreams           Upstreams `yaml:"upstreams"`
+	Placement           Placement `yaml:"placement"`
 	// MemoryMegabytes is the memory available to the process, in MiB. Zero sets no limit.
 	MemoryMegabytes int64 `yaml:"memory_megabytes"`
 	// LinkMegabits is the rate of the VM's link in megabits per second, CPUShare the share of a core that the process gets.
@@ -80,6 +81,12 @@
 	MaxEventBytes int `yaml:"max_event_bytes"`
 }
 
+// Placement holds the settings of the choice of upstreams.
+type Placement struct {
+	// Pace limits the requests in flight at upstreams that have just started or recovered. It is off by default.
+	Pace bool `yaml:"pace"`
+}
+
 const (
 	defaultAnswerBytes = 8 << 20
 	defaultEventBytes  = 128 << 10
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -14,6 +14,7 @@
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/metric"
 	"bilberrylug.dev/core/mirror"
+	"bilberrylug.dev/core/pace"
 	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/quarantine"
 	"bilberrylug.dev/core/ratelimit"
@@ -95,6 +96,10 @@
 	quarantine *quarantine.Quarantine
 	// rateLimits holds the request rates that upstreams take.
 	rateLimits *ratelimit.Limiter
+	// pace holds the windows of upstreams that have just started or recovered; nil if the settings do not switch it on.
+	pace *pace.Tracker
+	// configuredAt is when the first configuration became active.
+	configuredAt time.Time
 	// tokenTime is the mean time per output token over all engines.
 	tokenTime placement.TokenTime
 	// startedAt is when the process started.
@@ -105,6 +110,10 @@
 
 func newState(cfg Settings, o Options) *state {
 	limits := cfg.Upstreams.withDefaults()
+	var windows *pace.Tracker
+	if cfg.Placement.Pace {
+		windows = pace.New()
+	}
 	return &state{
 		clock: o.Clock, boot: o.BootClock, log: o.Log, metrics: metric.New(), decode: o.Decode,
 		pool:   upstream.NewPool(o.Dial, o.Clock, limits.poolLimits()),
@@ -116,7 +125,7 @@
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(), undeclared: map[string]store.Change{},
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
-		confirm: func(fleet.Upstream) {},
+		confirm: func(fleet.Upstream) {}, pace: windows,
 	}
 }
 
@@ -185,6 +194,7 @@
 		st.log.Write(event.UpstreamChanged, "upstream", e.ID, "service", e.Service, "address", e.Address, "state", "stays registered after store return")
 	}
 	st.logLimits(st.rateLimits.Expire(now), "")
+	st.retainWindows()
 	st.pool.CloseExpired()
 }
 
--- a/router/direct/statements.go
+++ b/router/direct/statements.go
@@ -8,6 +8,7 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/pace"
 	"bilberrylug.dev/core/ratelimit"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/wire"
@@ -46,7 +47,14 @@
 // hold sends nothing more to an upstream for as long as it has asked for.
 func (st *state) hold(u fleet.Upstream, d time.Duration) {
 	now := st.clock.Now()
-	if locked(&st.mu, func() bool { return st.rateLimits.Hold(u.ID, now.Add(d), now) }) {
+	held := locked(&st.mu, func() bool {
+		held := st.rateLimits.Hold(u.ID, now.Add(d), now)
+		if held {
+			st.beginWindow(u.ID, u.Started, pace.Paused, now)
+		}
+		return held
+	})
+	if held {
 		st.log.Write(event.UpstreamHeld, "upstream", u.ID, "retry_after", d.String())
 	}
 }
--- a/router/direct/store_changes.go
+++ b/router/direct/store_changes.go
@@ -91,6 +91,9 @@
 		close(st.configured)
 	}
 	st.mu.Lock()
+	if st.configuredAt.IsZero() {
+		st.configuredAt = st.clock.Now()
+	}
 	close(st.activation)
 	st.activation = make(chan struct{})
 	st.mu.Unlock()
@@ -132,6 +135,7 @@
 		return
 	}
 	old, known := st.fleet.Get(e.ID)
+	left := st.fleet.HasLeft(e.ID, e.Started)
 	if !st.fleet.Put(e, c.Modified.Era(), now) {
 		st.log.Write(event.UpstreamChanged, "upstream", e.ID, "state", "entry of an older copy ignored", "draining", e.Draining,
 			"started", e.Started, "seq", e.Seq, "store_revision", c.Modified)
@@ -142,6 +146,7 @@
 		st.pool.CloseIdle(e.Address)
 		st.rateLimits.Forget(e.ID)
 	}
+	st.paceRegistered(old, known, left, e, now)
 	old.Seq = e.Seq
 	if known && old.Entry == e {
 		return
--- a/router/direct/updates.go
+++ b/router/direct/updates.go
@@ -10,6 +10,7 @@
 	"bilberrylug.dev/core/event"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/mirror"
+	"bilberrylug.dev/core/pace"
 	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/quarantine"
 	"bilberrylug.dev/core/wire"
@@ -76,6 +77,7 @@
 	}
 	n.LeavingUpstreams = st.leavingReports(now)
 	n.Limits = wireconv.LimitsToWire(st.rateLimits.Reports(now))
+	n.Windows = st.windowReports(now)
 	n.Quarantine = wireconv.QuarantineToWire(st.quarantine.Report(now))
 	st.renamed = slices.DeleteFunc(st.renamed, func(r renamedUpstream) bool { return now.Sub(r.renamedAt) > identityBroadcastTime })
 	for _, r := range st.renamed {
@@ -142,9 +144,11 @@
 		st.rateLimits.MergeDemand(sender, service, wireconv.DemandFromWire(c.GetDemandMilli()), now)
 	}
 	st.mergeLimits(n, now)
+	st.mergeWindows(n, now)
 	for _, r := range n.GetRenamed() {
 		if st.fleet.Rename(ids.VM(r.GetOld()), ids.VM(r.GetName()), now) {
 			st.log.Write(event.UpstreamChanged, "upstream", r.GetName(), "was", r.GetOld(), "told_by", n.GetSender())
+			st.beginWindow(ids.VM(r.GetName()), 0, pace.Moved, now)
 		}
 	}
 }
