--- a/core/wireconv/pace_test.go
+++ b/core/wireconv/pace_test.go
@@ -22,4 +22,9 @@
 		Expect(proto.Unmarshal(encoded, &decoded)).To(Succeed())
 		Expect(wireconv.WindowsFromWire(decoded.GetWindows())).To(Equal(list))
 	})
+	It("take less than 50 bytes each", func() {
+		r := pace.Report{Start: pace.Start{ID: "i-5283a9a0af", Started: 1 << 60}, Epoch: 300, Base: 3.5, Gained: 7.25}
+		news := &wire.News{Windows: wireconv.WindowsToWire([]pace.Report{r, r, r, r, r, r, r, r, r, r})}
+		Expect(proto.Size(news)).To(BeNumerically("<", 500))
+	})
 })
