--- a/router/direct/pace.go
+++ b/router/direct/pace.go
@@ -151,13 +151,15 @@
 
 // paceFailedRun records what a failed run says about the upstream's window.
 func (s *stream) paceFailedRun(r *run, err error) {
-	if s.pace == nil || s.callerLost(err) || s.ended(s.ctx) {
+	if s.pace == nil {
 		return
 	}
 	trouble := pace.Failed
 	switch {
 	case errors.As(err, new(*quarantineError)), errors.Is(err, errAddressReused), errors.Is(err, errUnattributed):
 		return
+	case s.callerLost(err), s.ended(s.ctx):
+		return
 	case errors.Is(err, errNotRun):
 		trouble = pace.Refused
 	case errors.Is(err, errHung), errors.Is(err, errUpstreamSlow), errors.Is(err, errUnreachable):
