--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -30,7 +30,8 @@
 	// other, so without sampling all would pick the same best engine at once.
 	sampleFactor = 4
 	sampleMin    = 8
-	// fullCost ranks engines without a free slot or KV cache capacity behind all others.
+	// fullCost ranks engines without a free slot or KV cache capacity behind all others, and those whose window is full. These may
+	// not cost more: in the model, upstreams that came back were left idle at the peak then, while the others refused.
 	fullCost = 10 * time.Second
 	// suspectCost ranks suspected engines, such as those of a suspected failure domain, behind others.
 	suspectCost = 3 * time.Second
@@ -42,6 +43,8 @@
 	Domain ids.FailureDomain
 	// Suspect is set if the engine or its failure domain is suspected to be lost.
 	Suspect bool
+	// WindowFull is set if the engine has just started or recovered and has as many requests as it should get for now.
+	WindowFull bool
 }
 
 // Picker picks engines for one router. It is not safe for concurrent use.
@@ -114,7 +117,7 @@
 	first := m.TimeToFirstEvent(w, prompt, p.Slowness(c.ID, now))
 	neighbour := runningCost + time.Duration(neighbourWeight*float64(m.PrefillTime(prompt)))
 	cost := first + time.Duration(w.Running)*neighbour + p.bias(c)
-	if !m.Fits(w, req.Tokens()) {
+	if c.WindowFull || !m.Fits(w, req.Tokens()) {
 		cost += fullCost
 	}
 	return estimate{cost: cost, firstEvent: first}
