--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -12,8 +12,8 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
-	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/pace"
+	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
 )
