Read-only views of what decides where a request goes

Cause: an operator cannot ask a router where a request would go, and the functions that decide it change state: Acquire takes a slot, Delay sets the rate of a bucket, Check starts a trial of a quarantined prompt.

--- a/core/placement/limiter.go
+++ b/core/placement/limiter.go
@@ -65,8 +65,16 @@
 
 // Acquire admits a call at once, or returns the expected waiting time and false.
 func (l *Limiter) Acquire(c Call, now time.Time) (time.Duration, bool) {
-	if l.waiting.Len() == 0 && l.admits(now) {
+	wait, admitted := l.Predict(c, now)
+	if admitted {
 		l.running++
+	}
+	return wait, admitted
+}
+
+// Predict returns what Acquire would return, without admitting the call.
+func (l *Limiter) Predict(c Call, now time.Time) (time.Duration, bool) {
+	if l.waiting.Len() == 0 && l.admits(now) {
 		return 0, true
 	}
 	return l.waitAfter(l.waiting.Ahead(c, now, l.meanCallTime, l.limit)), false
--- a/core/placement/picker.go
+++ b/core/placement/picker.go
@@ -59,7 +59,7 @@
 	if len(list) == 0 {
 		return Candidate{}, 0, false
 	}
-	list = req.sample(list, max(sampleMin, sampleFactor*len(list)/max(1, p.Routers)))
+	list = req.sample(list, p.sampleSize(len(list)))
 	best := list[0]
 	expected := p.cost(best, req, m, now)
 	for _, c := range list[1:] {
@@ -70,6 +70,9 @@
 	return best, expected.firstEvent, true
 }
 
+// sampleSize returns the number of engines that Pick considers out of all.
+func (p Picker) sampleSize(all int) int { return max(sampleMin, sampleFactor*all/max(1, p.Routers)) }
+
 // sample draws the engines that Pick considers. The engine that has the prompt in its KV cache comes first, suspected ones
 // last.
 func (r Request) sample(list []Candidate, size int) []Candidate {
--- a/core/quarantine/check.go
+++ b/core/quarantine/check.go
@@ -31,9 +31,24 @@
 // Check decides whether a request may be sent to an engine, at each attempt. A request that is allowed as a trial holds the
 // trial until its outcome is recorded or it ends.
 func (q *Quarantine) Check(request ids.Request, parts []Part, now time.Time) Verdict {
+	v, trials := q.judge(request, parts, now)
+	for _, b := range trials {
+		b.trial, b.trialUntil = request, now.Add(trialTime)
+	}
+	return v
+}
+
+// Peek returns the verdict on a new request with the given parts, without starting a trial.
+func (q *Quarantine) Peek(parts []Part, now time.Time) Verdict {
+	v, _ := q.judge("", parts, now)
+	return v
+}
+
+// judge returns the verdict on a request, and the breakers of which the request would be the trial.
+func (q *Quarantine) judge(request ids.Request, parts []Part, now time.Time) (Verdict, []*breaker) {
 	v := Verdict{Allowed: true}
 	if len(q.breakers) == 0 {
-		return v
+		return v, nil
 	}
 	var trials []*breaker
 	for _, p := range parts {
@@ -42,19 +57,16 @@
 			continue
 		}
 		v = q.describe(b, parts, now)
-		if v.Remaining == 0 && b.trial != request {
+		if v.Remaining == 0 && (b.trial != request || request == "") {
 			v.Remaining = max(0, b.trialUntil.Sub(now))
 		}
 		if v.Remaining > 0 {
-			return v
+			return v, nil
 		}
 		trials = append(trials, b)
 	}
-	for _, b := range trials {
-		b.trial, b.trialUntil = request, now.Add(trialTime)
-	}
 	v.Allowed, v.Trial = true, len(trials) > 0
-	return v
+	return v, trials
 }
 
 func (q *Quarantine) describe(b *breaker, parts []Part, now time.Time) Verdict {
--- a/core/ratelimit/announcements.go
+++ b/core/ratelimit/announcements.go
@@ -24,8 +24,17 @@
 	for len(a.list) > 1 && !a.list[1].at.After(since) {
 		a.list = a.list[1:]
 	}
+	return a.peekLeast(since)
+}
+
+// peekLeast returns what least returns, and keeps all announcements.
+func (a *announcements) peekLeast(since time.Time) Rate {
+	first := 0
+	for first+1 < len(a.list) && !a.list[first+1].at.After(since) {
+		first++
+	}
 	if len(a.list) == 0 {
 		return 0
 	}
-	return a.list[0].demand
+	return a.list[first].demand
 }
--- a/core/ratelimit/bucket.go
+++ b/core/ratelimit/bucket.go
@@ -67,7 +67,7 @@
 		u.bucket = nil
 		return false
 	}
-	if u.bucket != nil && now.Sub(u.bucket.computedAt) < max(minShareLifetime, l.interval/sharesPerInterval) {
+	if l.isFresh(u.bucket, now) {
 		return true
 	}
 	part := limit * Rate(share(id, limit, l.sharers(u.service, now)))
@@ -80,6 +80,11 @@
 	return true
 }
 
+// isFresh reports whether this router's part of a limit need not be computed anew.
+func (l *Limiter) isFresh(b *bucket, now time.Time) bool {
+	return b != nil && now.Sub(b.computedAt) < max(minShareLifetime, l.interval/sharesPerInterval)
+}
+
 // Delay returns how long a request to an upstream has to wait, or [Never].
 func (l *Limiter) Delay(id ids.VM, now time.Time) time.Duration {
 	held := max(0, l.holds[id].Sub(now))
@@ -87,14 +92,19 @@
 	if !known || !l.refill(id, u, now) {
 		return held
 	}
-	lacking := 1 - u.bucket.TokensAt(now)
+	return delay(u.bucket.TokensAt(now), u.bucket.rate, held)
+}
+
+// delay returns how long a request has to wait for a token of a bucket, and at least as long as the upstream wants nothing.
+func delay(tokens float64, r Rate, held time.Duration) time.Duration {
+	lacking := 1 - tokens
 	switch {
-	case lacking <= 0 && u.bucket.rate > 0:
+	case lacking <= 0 && r > 0:
 		return held
-	case u.bucket.rate < minRate:
+	case r < minRate:
 		return Never
 	}
-	return max(held, time.Duration(lacking/float64(u.bucket.rate)*float64(time.Second)))
+	return max(held, time.Duration(lacking/float64(r)*float64(time.Second)))
 }
 
 // Take charges a request to an upstream that is sent after its delay.
--- a/core/ratelimit/demand.go
+++ b/core/ratelimit/demand.go
@@ -102,9 +102,13 @@
 // have been told of it, and theirs as far as they may rely on this router to know it: the sum of the shares that all routers take is then
 // never above one, although each one knows the others' demand only as it was some time ago.
 func (l *Limiter) sharers(s ids.Service, now time.Time) []sharer {
-	d := l.demand(s)
+	return l.sharersOf(l.demand(s), now, (*announcements).least)
+}
+
+// sharersOf returns the sharers for the demand of a service, given the function that returns the least announced demand.
+func (l *Limiter) sharersOf(d *serviceDemand, now time.Time, least func(a *announcements, since time.Time) Rate) []sharer {
 	since := now.Add(-l.interval)
-	own := d.announced.least(since)
+	own := least(&d.announced, since)
 	if len(l.present) == 0 {
 		own = d.own.current(now)
 	}
@@ -112,7 +116,7 @@
 	for vm := range l.present {
 		demand := minDemand
 		if a, known := d.peers[vm]; known {
-			demand = max(demand, a.least(since))
+			demand = max(demand, least(a, since))
 		}
 		out = append(out, sharer{vm, demand})
 	}
