A router explains on its metrics port where a request would go

Cause: operators could only guess from log lines and metrics why a request goes to an upstream, waits or is refused. Change: POST /explain on the metrics port takes a request's host, path, key and sizes, and answers with the route, the upstreams weighed, the figures with their age, and the choice, the expected wait or the refusal. candidates, suspects, the limiters and the refusals are split so that the explanation runs the same code without their effects. The metrics port now also bounds the time to read a request.

--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/labstack/echo/v4"
 
 	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/event"
@@ -135,12 +134,12 @@
 		Handler: a.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: a.opts.Log.StdLogger(), ConnContext: a.handler.conns.context, ConnState: a.handler.conns.stateChanged,
 	}
-	mux := echo.New()
-	mux.GET("/metrics", func(c echo.Context) error { a.state.metrics.Write(c.Response()); return nil })
 	readiness := &http.Server{
 		Handler: http.HandlerFunc(a.serveReadiness), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
-	metrics := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	metrics := &http.Server{
+		Handler: operatorsHandler(a.handler), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
 	failed := make(chan error, 4)
 	var callersListener net.Listener
 	for address, server := range map[string]*http.Server{
--- a/router/direct/candidates.go
+++ b/router/direct/candidates.go
@@ -35,16 +35,28 @@
 // the preferred one. Those already tried are included only if there are no others. If none takes a request now, it returns the one that
 // does so first. The caller must hold x.state.mu.
 func (x *exchange) candidates(tried map[ids.VM]bool, preferred ids.VM, now time.Time) candidateList {
-	all := x.fleet.Usable(x.service.Name)
+	return listCandidates(drawUpstreams(x.fleet.Usable(x.service.Name), preferred), tried, weighing{
+		delay:   func(u *fleet.Upstream) time.Duration { return x.rateLimits.Delay(u.ID, now) },
+		suspect: func(u *fleet.Upstream) bool { return x.suspects(*u, now) },
+	})
+}
+
+// weighing tells how long an upstream does not take a request yet, and whether it is to be avoided.
+type weighing struct {
+	delay   func(u *fleet.Upstream) time.Duration
+	suspect func(u *fleet.Upstream) bool
+}
+
+func listCandidates(all []*fleet.Upstream, tried map[ids.VM]bool, w weighing) candidateList {
 	list := candidateList{candidates: make([]placement.Candidate, 0, min(len(all), maxCandidates))}
 	add := func(u *fleet.Upstream) {
-		list.candidates = append(list.candidates, placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: x.suspects(*u, now)})
+		list.candidates = append(list.candidates, placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: w.suspect(u)})
 		list.upstreams = append(list.upstreams, u)
 	}
 	var retried []*fleet.Upstream
 	var first *fleet.Upstream
-	for _, u := range drawUpstreams(all, preferred) {
-		delay := x.rateLimits.Delay(u.ID, now)
+	for _, u := range all {
+		delay := w.delay(u)
 		switch {
 		case delay > 0 && (first == nil || delay < list.delay):
 			first, list.delay = u, delay
@@ -71,19 +83,24 @@
 // suspects reports whether an upstream is to be avoided. One of a plain service that is suspected with its failure domain is asked whether
 // it is alive: the service may have few others, and while it gets no calls it gives no sign of life. The caller must hold x.state.mu.
 func (x *exchange) suspects(u fleet.Upstream, now time.Time) bool {
+	suspect, ask := x.suspicion(u, now)
+	if ask && x.fleet.ClaimCheck(u.ID, now) {
+		x.confirm(u)
+	}
+	return suspect
+}
+
+// suspicion reports whether an upstream is to be avoided, and whether it should be asked if it is alive. It changes nothing. The caller
+// must hold x.state.mu.
+func (x *exchange) suspicion(u fleet.Upstream, now time.Time) (suspect, ask bool) {
 	if !x.fleet.IsSuspected(u, now) {
-		return false
+		return false, false
 	}
 	if x.service.Engine != nil || !x.fleet.SuspectedByDomain(u, now) {
-		return true
-	}
-	if x.fleet.Outlived(u) {
-		return false
-	}
-	if x.fleet.ClaimCheck(u.ID, now) {
-		x.confirm(u)
+		return true, false
 	}
-	return true
+	outlived := x.fleet.Outlived(u)
+	return !outlived, !outlived
 }
 
 // drawUpstreams returns all upstreams, or maxCandidates of them if they are more, in their order. The drawn ones follow each
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -137,18 +137,22 @@
 	if !found {
 		return fault.New(fault.NoUpstream, "the configuration does not declare the route's service")
 	}
-	route := x.route
-	x.priority = cfg.Priority(route, x.workspace)
-	x.deadline = x.arrivedAt.Add(route.Timeout)
-	if maxWait := x.req.MaxWait; maxWait > 0 && maxWait < route.Timeout {
-		x.deadline = x.arrivedAt.Add(maxWait)
-	}
+	x.setLimits(cfg)
 	if err := x.admitDuringShutdown(); err != nil {
 		return err
 	}
 	return x.readBody(cfg.Limits.MaxBodyBytes)
 }
 
+// setLimits sets the rank and the deadline of the request.
+func (x *exchange) setLimits(cfg *routing.Config) {
+	x.priority = cfg.Priority(x.route, x.workspace)
+	x.deadline = x.arrivedAt.Add(x.route.Timeout)
+	if maxWait := x.req.MaxWait; maxWait > 0 && maxWait < x.route.Timeout {
+		x.deadline = x.arrivedAt.Add(maxWait)
+	}
+}
+
 // match finds the route and the workspace of the request in a configuration.
 func (x *exchange) match(cfg *routing.Config) error {
 	route, found := cfg.Match(x.r.Host, x.r.URL.EscapedPath())
--- a/router/direct/limit_wait.go
+++ b/router/direct/limit_wait.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"bilberrylug.dev/core/fault"
@@ -25,9 +24,15 @@
 
 // fault returns the refusal. The spread keeps callers from returning at once.
 func (e *limitedError) fault() *fault.Error {
+	f := e.fixedFault()
+	f.Kind.RetryAfter = spread(f.Kind.RetryAfter)
+	return f
+}
+
+// fixedFault returns the refusal without a spread of its Retry-After.
+func (e *limitedError) fixedFault() *fault.Error {
 	f := fault.New(fault.UpstreamLimited, "%s", e.Error())
-	wait := min(maxLimitRetryAfter, e.wait)
-	f.Kind.RetryAfter = wait + time.Duration(rand.Float64()*float64(wait)/2)
+	f.Kind.RetryAfter = min(maxLimitRetryAfter, e.wait)
 	return f
 }
 
--- a/router/direct/limiter.go
+++ b/router/direct/limiter.go
@@ -37,25 +37,50 @@
 
 // queueFull returns the refusal of a call that cannot be served in time. The spread keeps callers from returning at once.
 func (x *exchange) queueFull(wait time.Duration) error {
-	f := fault.New(fault.QueueFull, "expected wait of %s exceeds the remaining time", wait)
-	f.Kind.RetryAfter = wait + time.Duration(rand.Float64()*float64(wait)/2)
+	f := queueFullFault(wait)
+	f.Kind.RetryAfter = spread(wait)
 	return &refusedError{f}
 }
 
+// queueFullFault returns the refusal without a spread of its Retry-After.
+func queueFullFault(wait time.Duration) *fault.Error {
+	f := fault.New(fault.QueueFull, "expected wait of %s exceeds the remaining time", wait)
+	f.Kind.RetryAfter = wait
+	return f
+}
+
+// retrySpread is the largest part by which the Retry-After of a refusal is lengthened at random.
+const retrySpread = 0.5
+
+// spread lengthens a Retry-After at random, so that callers do not return at once.
+func spread(wait time.Duration) time.Duration {
+	return wait + time.Duration(rand.Float64()*retrySpread*float64(wait))
+}
+
+// maxSpread returns the longest result of spread.
+func maxSpread(wait time.Duration) time.Duration {
+	return wait + time.Duration(retrySpread*float64(wait))
+}
+
 // limiter returns the concurrency limiter of a service. The caller must hold st.mu.
 func (st *state) limiter(service ids.Service) *placement.Limiter {
 	l, known := st.limiters[service]
 	if !known {
-		slots := 0
-		for _, u := range st.fleet.Usable(service) {
-			slots += u.Slots
-		}
-		l = placement.NewLimiter(slots, st.picker.Routers)
+		l = st.newLimiter(service)
 		st.limiters[service] = l
 	}
 	return l
 }
 
+// newLimiter returns the limiter with which a service begins. The caller must hold st.mu.
+func (st *state) newLimiter(service ids.Service) *placement.Limiter {
+	slots := 0
+	for _, u := range st.fleet.Usable(service) {
+		slots += u.Slots
+	}
+	return placement.NewLimiter(slots, st.picker.Routers)
+}
+
 // acquireSlot waits for a concurrency slot. A call whose expected wait exceeds its remaining time is refused at once, with
 // the expected wait as Retry-After.
 func (x *exchange) acquireSlot() error {
--- a/router/direct/startup.go
+++ b/router/direct/startup.go
@@ -43,15 +43,20 @@
 
 // configWait returns the context of a wait for a configuration.
 func (x *exchange) configWait(reason string) (context.Context, context.CancelFunc) {
-	wait := maxStartupWait
-	if maxWait := x.req.MaxWait; maxWait > 0 {
-		wait = min(wait, maxWait/startupWaitDivisor)
-	}
+	wait := x.configWaitTime()
 	x.log.Write(event.RequestWaiting, "request", x.req.ID, "patience", x.req.MaxWait.String(), "at_most", wait.String(), "reason", reason,
 		"config_version", uint64(x.configVersion()))
 	return clockwork.WithTimeout(x.r.Context(), x.clock, wait)
 }
 
+// configWaitTime is how long the request waits for a configuration at most.
+func (x *exchange) configWaitTime() time.Duration {
+	if maxWait := x.req.MaxWait; maxWait > 0 {
+		return min(maxStartupWait, maxWait/startupWaitDivisor)
+	}
+	return maxStartupWait
+}
+
 // matchCurrent finds the route and the workspace of the request. If the active configuration does not allow the request and
 // the router knows of a newer one that it does not have yet, the request waits for that one for a limited time. It returns the
 // configuration that was used.
