bilberrylug explain shows where a router would send a request now

Change: the command sends the question to the metrics port of a router and prints the answer as a table, the choice first and the others by cost, or as JSON of the same type. Bad input is a bad_request fault with exit code 3. The key may come from BILBERRYLUG_API_KEY, so that it does not show in the process list.

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -82,6 +82,7 @@
 
 // exitCodes maps fault codes to exit codes; all others exit with ExitFailed.
 var exitCodes = map[fault.Code]int{
+	fault.BadRequest:       ExitInvalid,
 	fault.ConfigInvalid:    ExitInvalid,
 	fault.ApplyConflict:    ExitConflict,
 	fault.StoreUnavailable: ExitUnknown,
@@ -99,7 +100,7 @@
 	return &cli.Command{
 		Name:  "bilberrylug",
 		Usage: "apply configurations and inspect the fleet",
-		Description: "Exit codes: 0 done, 1 failed, 3 invalid configuration, 4 conflict with another operator, " +
+		Description: "Exit codes: 0 done, 1 failed, 3 invalid configuration or question, 4 conflict with another operator, " +
 			"5 outcome unknown, 6 not active in time, 8 differences found.",
 		Writer: out,
 		Flags: []cli.Flag{
@@ -109,7 +110,7 @@
 			&cli.StringFlag{Name: "operator", Value: os.Getenv("USER"), Usage: "operator name recorded in the history"},
 		},
 		Commands: []*cli.Command{
-			t.validate(), t.diff(), t.apply(), t.get(), t.history(), t.status(), t.drain(), t.undrain(), t.hashKey(),
+			t.validate(), t.diff(), t.apply(), t.get(), t.history(), t.status(), t.drain(), t.undrain(), t.hashKey(), t.explain(),
 		},
 	}
 }
@@ -131,6 +132,10 @@
 		text()
 		return nil
 	}
+	return t.printJSON(v)
+}
+
+func (t *Tool) printJSON(v any) error {
 	e := json.NewEncoder(t.out)
 	e.SetIndent("", "  ")
 	if err := e.Encode(v); err != nil {
