An explanation looks its upstreams up by ID

Cause: each row of the report searched all candidates, under the lock that requests need. Change: maps of the weighed upstreams and of the rows; a benchmark of the time under the lock.

--- a/router/direct/explain.go
+++ b/router/direct/explain.go
@@ -23,6 +23,9 @@
 	now    time.Time
 	// list holds the upstreams that compete for the request.
 	list candidateList
+	// weighed holds these upstreams, rows the index of each upstream in the report.
+	weighed map[ids.VM]bool
+	rows    map[ids.VM]int
 }
 
 // explain reports where a request would go now. It returns a bad_request fault for a question that is not valid.
@@ -143,8 +146,13 @@
 			return suspect
 		},
 	})
-	for _, u := range e.fleet.Registered(e.service.Name) {
+	e.weighed, e.rows = map[ids.VM]bool{}, map[ids.VM]int{}
+	for _, u := range e.list.upstreams {
+		e.weighed[u.ID] = true
+	}
+	for i, u := range e.fleet.Registered(e.service.Name) {
 		e.report.Upstreams = append(e.report.Upstreams, e.describe(u))
+		e.rows[u.ID] = i
 	}
 	if e.route.Kind == routing.Streaming {
 		e.weighGeneration(usable)
--- a/router/direct/explain_weigh.go
+++ b/router/direct/explain_weigh.go
@@ -15,7 +15,7 @@
 func (e *explanation) describe(u fleet.Upstream) explain.Upstream {
 	engine, calls := e.picker.Inspect(u.ID, e.now), e.calls.Inspect(u.ID, e.now)
 	row := explain.Upstream{
-		ID: u.ID, FailureDomain: u.Domain, Weighed: e.list.get(u.ID).ID != "", Slowness: engine.Slowness,
+		ID: u.ID, FailureDomain: u.Domain, Weighed: e.weighed[u.ID], Slowness: engine.Slowness,
 		Own:    work(engine.Own, calls.Own),
 		Others: explain.Reports{Work: work(engine.Others, calls.Others), Routers: engine.Reports, OldestAgeMS: explain.Millis(engine.OldestReport)},
 		Limit:  e.limit(u.ID),
@@ -65,7 +65,7 @@
 func (e *explanation) others(usable []*fleet.Upstream) []placement.Candidate {
 	var out []placement.Candidate
 	for _, u := range usable {
-		if e.list.get(u.ID).ID == "" {
+		if !e.weighed[u.ID] {
 			suspect, _ := e.suspicion(*u, e.now)
 			out = append(out, placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: suspect})
 		}
@@ -73,14 +73,7 @@
 	return out
 }
 
-func (e *explanation) row(id ids.VM) *explain.Upstream {
-	for i := range e.report.Upstreams {
-		if e.report.Upstreams[i].ID == id {
-			return &e.report.Upstreams[i]
-		}
-	}
-	return &explain.Upstream{}
-}
+func (e *explanation) row(id ids.VM) *explain.Upstream { return &e.report.Upstreams[e.rows[id]] }
 
 // weighGeneration follows the steps of [stream.runOnce] and [stream.place]. The caller must hold e.mu.
 func (e *explanation) weighGeneration(usable []*fleet.Upstream) {
--- a/router/direct/place_bench_test.go
+++ b/router/direct/place_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"bilberrylug.dev/core/explain"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/placement"
@@ -57,3 +58,19 @@
 		})
 	}
 }
+
+// BenchmarkExplain measures how long an explanation holds the lock of the router's state.
+func BenchmarkExplain(b *testing.B) {
+	for _, size := range []struct{ routers, engines int }{{4, 24}, {480, 100}} {
+		b.Run(fmt.Sprintf("%d routers, %d engines", size.routers, size.engines), func(b *testing.B) {
+			s := newPlacement(size.routers, size.engines)
+			for b.Loop() {
+				e := &explanation{exchange: s.exchange, now: s.clock.Now(), report: &explain.Report{}}
+				e.weigh()
+				if e.report.Choice == "" {
+					b.Fatal("no choice")
+				}
+			}
+		})
+	}
+}
