--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/labstack/echo/v4"
 
 	"bilberrylug.dev/core/boottime"
 	"bilberrylug.dev/core/connlimit"
@@ -136,14 +135,12 @@
 		Handler: a.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: a.opts.Log.StdLogger(), ConnContext: a.handler.conns.context, ConnState: a.handler.conns.stateChanged,
 	}
-	mux := echo.New()
-	mux.GET("/metrics", func(c echo.Context) error { a.state.metrics.Write(c.Response()); return nil })
 	readiness := &http.Server{
 		Handler: http.HandlerFunc(a.serveReadiness), ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	metrics := &http.Server{
-		Handler: mux, ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: operatorsHandler(a.handler), ReadTimeout: headerTimeout, WriteTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 4)
 	var callersListener net.Listener
