--- a/core/memory/load_test.go
+++ b/core/memory/load_test.go
@@ -164,7 +164,7 @@
 		second := l.begin()
 		l.now = l.now.Add(time.Second)
 		Expect(l.receive(first, pieceBytes)).To(BeTrue())
-		Expect(l.account.ShedSlowest(l.now.Add(-2 * time.Second))).To(BeNil(), "all have made progress since")
+		Expect(l.account.ShedSlowest(l.now.Add(-2*time.Second))).To(BeNil(), "all have made progress since")
 		Expect(l.account.ShedSlowest(l.now)).To(BeIdenticalTo(second))
 		Expect(first.Complete()).To(BeTrue())
 		Expect(l.account.ShedSlowest(l.now)).To(BeNil())
