--- a/core/fleet/entry.go
+++ b/core/fleet/entry.go
@@ -9,6 +9,8 @@
 	Address string
 	Domain  ids.FailureDomain
 	Slots   int
+	// Version is that of the upstream's software, as text; it is empty if the entry names none.
+	Version string
 	// Draining is set once the upstream has announced that it is leaving.
 	Draining bool
 	// Started distinguishes one start of the upstream from the next; it is compared only for equality.
--- a/core/store/errors.go
+++ b/core/store/errors.go
@@ -18,3 +18,6 @@
 
 // ErrLeaseEnded is returned for a lease that has ended: open a new one.
 var ErrLeaseEnded = errors.New("store: lease has ended; open a new one")
+
+// ErrConflict is returned for a transaction that had no effect because a key has changed: read the keys again.
+var ErrConflict = errors.New("store: an expected key has changed; read the keys again")
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -66,4 +66,29 @@
 	Revoke(ctx context.Context, l Lease) error
 	// Put writes a key unconditionally and binds it to a lease.
 	Put(ctx context.Context, key string, value []byte, l Lease) error
+	// Commit applies all writes of a transaction, or none, and returns the revision of the writes. It returns ErrConflict if an expected
+	// key has changed, and ErrLeaseEnded if a lease has ended. After any other error the transaction may have taken effect, or may do so
+	// later if its conditions still hold.
+	Commit(ctx context.Context, t Txn) (Revision, error)
+}
+
+// Txn is a set of writes that take effect together, and only if none of the expected keys has changed.
+type Txn struct {
+	Expect []Expected
+	Puts   []Put
+	// Remove holds the keys that are removed.
+	Remove []string
+}
+
+// Expected is the revision at which a key was last changed. Zero means that the key does not exist.
+type Expected struct {
+	Key      string
+	Modified Revision
+}
+
+// Put is a write of a key, bound to a lease unless that is zero.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease Lease
 }
