--- a/core/mirror/follower.go
+++ b/core/mirror/follower.go
@@ -173,7 +173,7 @@
 // listAll lists all prefixes and replaces the contents of the replica.
 func (f *Follower) listAll(ctx context.Context) error {
 	var at store.Revision
-	for _, prefix := range []string{f.o.Layout.Upstreams, f.o.Layout.Config, f.o.Layout.Routers} {
+	for _, prefix := range f.o.Layout.Prefixes() {
 		items, revision, err := f.listPrefix(ctx, prefix)
 		if err != nil {
 			return err
--- a/core/mirror/replica.go
+++ b/core/mirror/replica.go
@@ -30,6 +30,26 @@
 	Upstreams string
 	// Routers is the prefix of the routers' own entries.
 	Routers string
+	// RolloutOrders is the prefix of the operator's orders of rollouts, Rollouts that of their records. Empty ones are not listed.
+	RolloutOrders string
+	Rollouts      string
+}
+
+// Prefixes returns what is listed: the prefixes and the key of the configuration, the upstreams first.
+func (l Layout) Prefixes() []string {
+	out := []string{l.Upstreams, l.Config, l.Routers}
+	for _, prefix := range []string{l.RolloutOrders, l.Rollouts} {
+		if prefix != "" {
+			out = append(out, prefix)
+		}
+	}
+	return out
+}
+
+// WithoutRollouts returns the layout without the keys of rollouts.
+func (l Layout) WithoutRollouts() Layout {
+	l.RolloutOrders, l.Rollouts = "", ""
+	return l
 }
 
 // maxTombstones bounds the removed keys that are kept for routers that lack changes.
--- a/router/direct/settings.go
+++ b/router/direct/settings.go
@@ -41,6 +41,8 @@
 	Store               Store     `yaml:"store"`
 	Retries             Retries   `yaml:"retries"`
 	Upstreams           Upstreams `yaml:"upstreams"`
+	// Rollouts, if present, makes the router carry out the operator's orders of rollouts.
+	Rollouts *Rollouts `yaml:"rollouts"`
 	// MemoryMegabytes is the memory available to the process, in MiB. Zero sets no limit.
 	MemoryMegabytes int64 `yaml:"memory_megabytes"`
 	// LinkMegabits is the rate of the VM's link in megabits per second, CPUShare the share of a core that the process gets.
@@ -66,6 +68,20 @@
 	Slack         float64 `yaml:"slack"`
 }
 
+// Rollouts holds the bounds of rollouts, which all routers share.
+type Rollouts struct {
+	// ExposeShare is the part of a service's requests that a version may get before it has been shown to be good, ExposeSlack the number
+	// of requests that it may get in addition.
+	ExposeShare float64 `yaml:"expose_share"`
+	ExposeSlack float64 `yaml:"expose_slack"`
+	// RollbackMs is the time, in milliseconds, after which a bad version gets no more requests; 5,000 if zero.
+	RollbackMs int64 `yaml:"rollback_ms"`
+}
+
+func (r *Rollouts) valid() bool {
+	return r == nil || r.ExposeShare >= 0 && r.ExposeShare <= 1 && r.ExposeSlack >= 0 && r.RollbackMs >= 0
+}
+
 // Upstreams holds the limits on what upstreams may send. Beyond a limit the connection is closed and the attempt has failed. A
 // limit of zero has its default.
 type Upstreams struct {
@@ -125,6 +141,8 @@
 		return fault.New(fault.SettingsInvalid, "link_megabits and cpu_share must be at least zero")
 	case s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.WindowSeconds < minRetryWindowSeconds:
 		return fault.New(fault.SettingsInvalid, "retries.window_seconds must be at least %v, ratio and slack at least zero", minRetryWindowSeconds)
+	case !s.Rollouts.valid():
+		return fault.New(fault.SettingsInvalid, "rollouts.expose_share must be from zero to one, expose_slack and rollback_ms at least zero")
 	case min(s.Upstreams.MaxHeaderBytes, s.Upstreams.MaxDiscardedBytes, s.Upstreams.MaxAnswerBytes, int64(s.Upstreams.MaxEventBytes)) < 0:
 		return fault.New(fault.SettingsInvalid, "the limits of upstreams must be at least zero")
 	}
