--- /dev/null
+++ b/core/rollout/plan.go
@@ -0,0 +1,81 @@
+package rollout
+
+import "time"
+
+const (
+	// guardSlack is the part of the slack up to which a router itself goes with a version that is not proven. The rest covers what others
+	// have sent and this router has not yet heard of.
+	guardSlack = 0.7
+	// planSlack is the part of the slack that the shares are planned for.
+	planSlack = 0.8
+	// rampTop is the greatest share before the handover.
+	rampTop = 0.5
+	// doubtShare is the share while an answer speaks against the version, so that the doubt is resolved soon.
+	doubtShare = 0.3
+	// minRun is the least time from the first upstream of the new version to the verdict, as far as the order leaves it.
+	minRun = 5 * time.Second
+	// lag is the time after which a share that was written is in force at all routers.
+	lag = time.Second
+)
+
+// bound returns the exposure that is allowed for an unproven version after a number of requests, with a part of the slack.
+func (s Settings) bound(requests int, part float64) int {
+	return int(float64(s.ExposeShare)*float64(requests) + part*float64(s.ExposeSlack))
+}
+
+// plan holds the times of a rollout, counted from the order.
+type plan struct {
+	// rampAt and handoverAt are when the ramp and the handover begin at the latest.
+	rampAt, handoverAt time.Duration
+	// completeAt is when the version is completed, and lastAt the time until which old requests that still run are waited for.
+	completeAt, lastAt time.Duration
+	// minHandover is the least time in the handover, in which routers learn of it.
+	minHandover time.Duration
+}
+
+// newPlan plans a rollout whose new version could first be used at a time. The plan ends a fifth of the order's time before the deadline,
+// and two seconds at least, since routers see an order and its record with a lag.
+func newPlan(d, start, longestMedian time.Duration) plan {
+	margin := min(max(2*time.Second, d/5), d/2)
+	end := d - margin
+	if run := min(minRun, d/3); end-start < run {
+		end = start + run
+	}
+	left := end - start
+	handover := min(max(left/6, min(10*time.Second, 3*longestMedian)), left/3)
+	handover = min(handover, max(10*time.Second, left/10))
+	ramp := left / 8
+	return plan{
+		rampAt: end - handover - ramp, handoverAt: end - handover, completeAt: end, lastAt: max(end, d-margin*2/3),
+		minHandover: min(handover, lag),
+	}
+}
+
+// canaryShare returns the share for the canary: the exposure that the rest of the plan leaves, but always enough for some evidence.
+func (s Settings) canaryShare(e Evidence, p plan, j Judgement) Share {
+	rate := requestRate(e)
+	left := (p.rampAt - e.Elapsed).Seconds()
+	if left <= 0 || rate <= 0 {
+		return s.ExposeShare
+	}
+	rest := rate * (rampTop*0.75*(p.handoverAt-p.rampAt).Seconds() + (p.completeAt - p.handoverAt).Seconds())
+	total := float64(s.ExposeShare)*rate*p.completeAt.Seconds() + planSlack*float64(s.ExposeSlack)
+	share := (total - float64(e.Exposed) - rest) / (rate * left)
+	top := rampTop / 1.0
+	if j.Suspicion > 0 {
+		share = max(share, doubtShare)
+	}
+	share = min(share, top, s.affordable(e, rate))
+	return Share(max(share, min(float64(s.ExposeShare), 1)))
+}
+
+// affordable returns the share that keeps the exposure within the bound while a change of the share spreads.
+func (s Settings) affordable(e Evidence, rate float64) float64 {
+	left := float64(s.bound(e.Requests, planSlack) - e.Exposed)
+	return max(0, left/max(1, rate*2*lag.Seconds()))
+}
+
+// requestRate returns the service's requests a second since the order.
+func requestRate(e Evidence) float64 {
+	return float64(e.Requests) / max(1, e.Elapsed.Seconds())
+}
--- /dev/null
+++ b/core/rollout/suite_test.go
@@ -0,0 +1,9 @@
+package rollout_test
+
+import (
+	"testing"
+
+	"bilberrylug.dev/core/testkit"
+)
+
+func TestRollout(t *testing.T) { testkit.Run(t, "rollout") }
