Rollouts in the router: choice of versions, counts, exchange and the leader's loop

Requests go to the versions that package rollout names, by one random number per request, so that retries, resumed runs and copies follow it. Calls count with their whole time, generations with the time to the first event and the pace of the first events. Routers exchange counts and verdicts in News. One router, by a lease on rollouts/leader, writes record and status in one transaction, and reads both back. During a handover generations move to the new version by a copy of their KV cache.

Measured: go test of router/direct and core/wireconv pass; the end-to-end specs of rollouts pass but for the one of engines, whose generations are cut.

--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -69,6 +69,12 @@
 	LeaseLost           = Kind{"EV6002", slog.LevelInfo, "order lease lost", "None; another router gives orders."}
 	OrderGiven          = Kind{"EV6003", slog.LevelInfo, "order given", noAction}
 	OrderRefused        = Kind{"EV6004", slog.LevelWarn, "order refused", "See the fault's remedy."}
+	RolloutOrdered      = Kind{"EV6101", slog.LevelInfo, "order of a rollout changed", noAction}
+	RolloutLeading      = Kind{"EV6102", slog.LevelInfo, "leadership of rollouts changed", noAction}
+	RolloutDecision     = Kind{"EV6103", slog.LevelInfo, "decision on a rollout written", noAction}
+	RolloutPhase        = Kind{"EV6104", slog.LevelInfo, "phase or share of a rollout in force", noAction}
+	RolloutVerdict      = Kind{"EV6105", slog.LevelWarn, "verdict on a rollout reached or learnt", "If the version was rolled back, see its reason; order it again once it is mended."}
+	RolloutWriteFailed  = Kind{"EV6106", slog.LevelWarn, "writing a decision on a rollout failed", "None, unless it persists; check the store. It is written again."}
 )
 
 // Catalogue lists every event in the order of the numbers.
@@ -82,4 +88,5 @@
 	PromptSuspected, PartQuarantine, QuarantineTrial,
 	CallUnknown, CallCancelled, LedgerWriteLost,
 	LeaseAcquired, LeaseLost, OrderGiven, OrderRefused,
+	RolloutOrdered, RolloutLeading, RolloutDecision, RolloutPhase, RolloutVerdict, RolloutWriteFailed,
 }
--- a/core/fleet/directory.go
+++ b/core/fleet/directory.go
@@ -55,6 +55,8 @@
 	silent bool
 	// era is that of the store in which the entry was last read.
 	era store.Era
+	// seenAt is when the entry of this start was first read, or when the upstream was renamed.
+	seenAt time.Time
 	// missingSince is when its entry disappeared while the store may have dropped the entries of live upstreams.
 	missingSince time.Time
 }
@@ -82,6 +84,8 @@
 	replaced map[ids.VM]*Upstream
 	// usable caches the results of Usable until an upstream appears, disappears or changes its availability.
 	usable map[ids.Service][]*Upstream
+	// generation counts the changes of the upstreams and their availability.
+	generation uint64
 }
 
 // New returns an empty directory. Entries removed from the store during an outage and, if it took minOutage, within reregisterTime after
@@ -95,7 +99,10 @@
 }
 
 // changed discards the cached results of Usable.
-func (d *Directory) changed() { clear(d.usable) }
+func (d *Directory) changed() {
+	clear(d.usable)
+	d.generation++
+}
 
 func (d *Directory) add(u *Upstream) {
 	d.changed()
@@ -140,7 +147,7 @@
 	}
 	if !known || old.Started != e.Started || old.Address != e.Address {
 		d.remove(e.ID)
-		d.add(&Upstream{Entry: e, era: era})
+		d.add(&Upstream{Entry: e, era: era, seenAt: now})
 		return true
 	}
 	d.changed()
--- a/core/fleet/identity.go
+++ b/core/fleet/identity.go
@@ -67,7 +67,7 @@
 	e.Started = 0
 	d.remove(oldID)
 	delete(d.replaced, oldID)
-	d.add(&Upstream{Entry: e, answeredAt: now})
+	d.add(&Upstream{Entry: e, answeredAt: now, seenAt: now})
 	return true
 }
 
--- a/router/direct.go
+++ b/router/direct.go
@@ -45,7 +45,7 @@
 	s := platform.NewStore(cfg.Store.Address, upstream.Dial, clock)
 	a, err := direct.New(cfg, direct.Options{
 		Clock: clock, BootClock: boot, Log: log, Store: s, Dialect: platform.Dialect{}, Dial: upstream.Dial,
-		Decode: direct.Decoder{Layout: platform.Layout, Config: platform.ParseConfig, Upstream: platform.ParseUpstream},
+		Decode: direct.Decoder{Layout: platform.Layout, Config: platform.ParseConfig, Upstream: platform.ParseUpstream, RolloutOrder: platform.ParseRolloutOrder, RolloutStatus: platform.RolloutStatus},
 	})
 	if err != nil {
 		return err
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -118,7 +118,7 @@
 		ReadValue: a.readConfig,
 	})
 	a.follower = mirror.NewFollower(mirror.Options{
-		Store: o.Store, Target: a.broadcaster, Layout: o.Decode.Layout, Clock: o.Clock, Log: o.Log, OnAnswer: st.storeAnswered,
+		Store: o.Store, Target: a.broadcaster, Layout: st.decode.Layout, Clock: o.Clock, Log: o.Log, OnAnswer: st.storeAnswered,
 		OnStoreChange: func() { st.broadcastSoon() }, IsWatcher: st.watchesStore,
 	})
 	st.broadcastSoon = a.broadcaster.RequestBroadcast
@@ -173,6 +173,11 @@
 	} {
 		a.group.Keep(a.opts.Clock, run)
 	}
+	if a.state.rollouts != nil {
+		leader := &rolloutLeader{state: a.state, store: a.opts.Store, minLease: time.Duration(a.cfg.Store.LeaseMinimumMs) * time.Millisecond}
+		a.group.Keep(a.opts.Clock, leader.run)
+		a.group.Keep(a.opts.Clock, func(ctx context.Context) { group.Every(ctx, a.opts.Clock, rolloutTick, a.state.moveOldRuns) })
+	}
 	a.opts.Log.Write(event.Started, "callers", a.cfg.Callers, "region", a.cfg.Region, "failure_domain", a.cfg.FailureDomain)
 	select {
 	case <-ctx.Done():
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -133,6 +133,8 @@
 	if x.route.Kind == routing.Idempotent && x.runs() < x.route.MaxAttempts {
 		conn.SetStallFunc(x.attemptLimit(x.clock.Now().Add(attemptTime), u.ID, tried))
 	}
+	sent := x.recordSent(u, false)
+	sentAt := x.clock.Now()
 	a, err := x.roundTrip(ctx, conn, u)
 	if err != nil {
 		conn.Close()
@@ -140,6 +142,8 @@
 		conn.Release()
 	}
 	x.recordOutcome(u, a, err)
+	outcome, counts := x.callOutcome(a, err, x.clock.Since(sentAt))
+	x.recordAnswered(sent, u, outcome, counts)
 	x.logAttemptEnd(u.ID, err)
 	return a, err
 }
--- a/router/direct/call_pick.go
+++ b/router/direct/call_pick.go
@@ -74,7 +74,8 @@
 func (x *exchange) hasAlternative(id ids.VM, tried map[ids.VM]bool) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return slices.ContainsFunc(x.fleet.Usable(x.service.Name), func(u *fleet.Upstream) bool {
-		return u.ID != id && !tried[u.ID] && x.rateLimits.Delay(u.ID, x.clock.Now()) == 0
-	})
+	now := x.clock.Now()
+	other := func(u *fleet.Upstream) bool { return u.ID != id && !tried[u.ID] && x.rateLimits.Delay(u.ID, now) == 0 }
+	preferred, fallback := x.tiers(now)
+	return slices.ContainsFunc(preferred, other) || slices.ContainsFunc(fallback, other)
 }
--- a/router/direct/candidates.go
+++ b/router/direct/candidates.go
@@ -33,28 +33,35 @@
 
 // candidates returns usable upstreams of the request's service: all of them or, if they are many, a random part that includes
 // the preferred one. Those already tried are included only if there are no others. If none takes a request now, it returns the one that
-// does so first. The caller must hold x.state.mu.
+// does so first. During a rollout, upstreams of other versions than the preferred ones are used if there is no other. The caller must hold
+// x.state.mu.
 func (x *exchange) candidates(tried map[ids.VM]bool, preferred ids.VM, now time.Time) candidateList {
-	all := x.fleet.Usable(x.service.Name)
-	list := candidateList{candidates: make([]placement.Candidate, 0, min(len(all), maxCandidates))}
+	preferredVersions, fallback := x.tiers(now)
+	list := candidateList{candidates: make([]placement.Candidate, 0, min(len(preferredVersions), maxCandidates))}
 	add := func(u *fleet.Upstream) {
 		list.candidates = append(list.candidates, placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: x.fleet.IsSuspected(*u, now)})
 		list.upstreams = append(list.upstreams, u)
 	}
 	var retried []*fleet.Upstream
 	var first *fleet.Upstream
-	for _, u := range drawUpstreams(all, preferred) {
-		delay := x.rateLimits.Delay(u.ID, now)
-		switch {
-		case delay > 0 && (first == nil || delay < list.delay):
-			first, list.delay = u, delay
-		case delay > 0:
-		case tried[u.ID]:
-			retried = append(retried, u)
-		default:
-			add(u)
+	consider := func(all []*fleet.Upstream) {
+		for _, u := range drawUpstreams(all, preferred) {
+			delay := x.rateLimits.Delay(u.ID, now)
+			switch {
+			case delay > 0 && (first == nil || delay < list.delay):
+				first, list.delay = u, delay
+			case delay > 0:
+			case tried[u.ID]:
+				retried = append(retried, u)
+			default:
+				add(u)
+			}
 		}
 	}
+	consider(preferredVersions)
+	if len(list.candidates) == 0 {
+		consider(fallback)
+	}
 	if len(list.candidates) == 0 {
 		for _, u := range retried {
 			add(u)
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -97,6 +97,11 @@
 		return
 	}
 	c.backup = nil
+	c.start()
+}
+
+// start makes the copier order copies until the run ends. The caller must hold c.s.mu.
+func (c *copier) start() {
 	if c.stopped != nil {
 		return
 	}
@@ -149,6 +154,11 @@
 		return err
 	}
 	c.setOrdered(&kvCopy{host: to, ref: relay.Copy{Address: c.r.upstream.Address, Name: name}, source: c.r.upstream, ordered: true})
+	c.s.recordCopyHost(to)
+	if c.s.rollouts != nil {
+		// During a handover the run moves to the copy.
+		c.s.wake()
+	}
 	c.s.log.Write(event.CopyCreated, "request", c.s.req.ID, "upstream", c.r.upstream.ID, "copy_at", to.ID)
 	return nil
 }
@@ -178,7 +188,7 @@
 	c.s.state.mu.Lock()
 	defer c.s.state.mu.Unlock()
 	if lastOrdered != nil {
-		if u, known := c.s.fleet.Get(lastOrdered.host.ID); known && u.Started == lastOrdered.host.Started && u.Available() {
+		if u, known := c.s.fleet.Get(lastOrdered.host.ID); known && u.Started == lastOrdered.host.Started && u.Available() && c.s.mayContinueAt(u, now) {
 			return u, true
 		}
 	}
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -125,9 +125,13 @@
 		return err
 	}
 	if r.stall.events == 0 {
+		r.firstEventAt = s.clock.Now()
 		s.recordFirstEvent(r)
 	}
 	r.stall.observe(s.clock.Now())
+	if r.stall.events == paceEvents {
+		s.recordPace(r)
+	}
 	if r.stall.events == quarantine.SoundEvents {
 		s.recordSound()
 	}
--- a/router/direct/handler.go
+++ b/router/direct/handler.go
@@ -49,6 +49,8 @@
 	chargedAt time.Time
 	// noConnectionSince is since when a request that has run waits for a connection, or zero if it does not.
 	noConnectionSince time.Time
+	// draw is the random number by which the request goes to a new or an old version during a rollout.
+	draw float64
 	// headerSent is set once a response header has been sent to the caller.
 	headerSent bool
 }
@@ -67,7 +69,7 @@
 
 // ServeHTTP implements [http.Handler].
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{handler: h, w: w, r: r, arrivedAt: h.clock.Now()}
+	x := &exchange{handler: h, w: w, r: r, arrivedAt: h.clock.Now(), draw: rand.Float64()}
 	h.conns.headerRead(r)
 	h.shutdown.add()
 	defer h.shutdown.done()
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -12,6 +12,7 @@
 	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/ratelimit"
 	"bilberrylug.dev/core/relay"
+	"bilberrylug.dev/core/rollout"
 	"bilberrylug.dev/core/sse"
 )
 
@@ -50,6 +51,11 @@
 	// lastID is the ID of the last event that the upstream sent, if hasID is set.
 	lastID uint64
 	hasID  bool
+	// sent is the run as it is counted for a rollout, nil if the settings have none. judged is set once its answer was counted.
+	sent   *rollout.Sent
+	judged bool
+	// firstEventAt is when the first event arrived.
+	firstEventAt time.Time
 	// paceCheckedAt and paceCheckedEvents are the time and the number of events at the last check of the output rate.
 	paceCheckedAt     time.Time
 	paceCheckedEvents int
@@ -102,13 +108,18 @@
 	}
 	s.dropResumeCopy()
 	s.countAttempt()
+	r.sent = s.recordSent(r.upstream, true)
+	if r.backup != nil {
+		s.recordCopyHost(*r.backup)
+	}
 	r.stall.resumeReading(s.clock.Now())
 	s.logAttempt(r.upstream.ID, "domain", r.upstream.Domain, "predicted", r.predicted.String(),
 		"continues_copy", r.resumeFrom != nil, "copy_at", r.backupID(), "last_event", s.lastEventID, "reused", conn.Reused())
 	c := newCopier(s, r)
 	s.setRun(conn, c)
-	deliveredBefore := s.delivered
+	deliveredBefore, failedBefore := s.delivered, s.failedAnswer
 	err = s.sendAndForward(conn, r)
+	s.recordRunEnd(r, err, failedBefore)
 	s.setRun(nil, nil)
 	c.stop()
 	s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID)
@@ -139,7 +150,7 @@
 	}
 	switch {
 	case s.callerLost(err), errors.As(err, new(*quarantineError)):
-	case errors.Is(err, errNotRun), errors.Is(err, errHung), errors.Is(err, errUpstreamSlow):
+	case errors.Is(err, errNotRun), errors.Is(err, errHung), errors.Is(err, errUpstreamSlow), errors.Is(err, errOldVersion):
 		s.tried[r.upstream.ID] = true
 	case errors.Is(err, errAddressReused):
 		// The other upstreams of the failure domain may have restarted too.
--- a/router/direct/run_place.go
+++ b/router/direct/run_place.go
@@ -56,7 +56,7 @@
 		return fleet.Upstream{}, false
 	}
 	u, known := s.fleet.Get(c.host.ID)
-	usable := known && u.Started == c.host.Started && (u.Available() || list.get(u.ID).ID != "")
+	usable := known && u.Started == c.host.Started && s.mayContinueAt(u, now) && (u.Available() || list.get(u.ID).ID != "")
 	return u, usable && s.rateLimits.Delay(u.ID, now) == 0
 }
 
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -109,6 +109,9 @@
 	if err := s.checkRunning(r); err != nil {
 		return 0, err
 	}
+	if s.mustMove(r) && s.mayReplaceRun(r) {
+		return 0, errOldVersion
+	}
 	if r.stall.events == 0 {
 		if err := s.checkFirstEvent(r); err != nil {
 			return 0, err
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -17,6 +17,7 @@
 	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/quarantine"
 	"bilberrylug.dev/core/ratelimit"
+	"bilberrylug.dev/core/rollout"
 	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/core/shutdown"
 	"bilberrylug.dev/core/store"
@@ -35,6 +36,10 @@
 	Layout   mirror.Layout
 	Config   func(value []byte) (*routing.Config, error)
 	Upstream func(key string, value []byte) (fleet.Entry, error)
+	// RolloutOrder decodes an order of a rollout, without its revision. RolloutStatus returns the key and the value of a status, which names
+	// the version as the order does.
+	RolloutOrder  func(key string, value []byte) (rollout.Order, error)
+	RolloutStatus func(service ids.Service, status rollout.Status, order []byte) (key string, value []byte)
 }
 
 // state is the router's knowledge of the configuration, the upstreams and the other routers.
@@ -101,10 +106,15 @@
 	startedAt time.Time
 	// applyRouter applies a change of a router's entry.
 	applyRouter func(c store.Change)
+	// rollouts is nil if the settings have none.
+	rollouts *rollouts
 }
 
 func newState(cfg Settings, o Options) *state {
 	limits := cfg.Upstreams.withDefaults()
+	if cfg.Rollouts == nil {
+		o.Decode.Layout = o.Decode.Layout.WithoutRollouts()
+	}
 	return &state{
 		clock: o.Clock, boot: o.BootClock, log: o.Log, metrics: metric.New(), decode: o.Decode,
 		pool:   upstream.NewPool(o.Dial, o.Clock, limits.poolLimits()),
@@ -116,7 +126,7 @@
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(), undeclared: map[string]store.Change{},
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
-		confirm: func(fleet.Upstream) {},
+		confirm: func(fleet.Upstream) {}, rollouts: newRollouts(cfg, o.Clock.Now(), o.BootClock.Now()),
 	}
 }
 
@@ -132,6 +142,7 @@
 	st.updateStoreReachable(now)
 	st.watcherRole.RecordSelf(now)
 	st.updateStoreReachable(now)
+	st.rolloutHeard(now)
 }
 
 // updateStoreReachable passes to the directory whether the store has recently answered this router or another one. The
@@ -185,6 +196,7 @@
 		st.log.Write(event.UpstreamChanged, "upstream", e.ID, "service", e.Service, "address", e.Address, "state", "stays registered after store return")
 	}
 	st.logLimits(st.rateLimits.Expire(now), "")
+	st.updatePresence(now)
 	st.pool.CloseExpired()
 }
 
--- a/router/direct/store_changes.go
+++ b/router/direct/store_changes.go
@@ -13,15 +13,20 @@
 // become active.
 func (st *state) applyChanges(changes []store.Change) {
 	var config []store.Change
+	layout := st.decode.Layout
 	for _, c := range changes {
 		st.enterEra(c.Modified)
 		switch {
-		case c.Key == st.decode.Layout.Config:
+		case c.Key == layout.Config:
 			config = append(config, c)
-		case hasPrefix(c.Key, st.decode.Layout.Upstreams):
+		case hasPrefix(c.Key, layout.Upstreams):
 			st.applyUpstream(c)
-		case hasPrefix(c.Key, st.decode.Layout.Routers):
+		case hasPrefix(c.Key, layout.Routers):
 			st.applyRouter(c)
+		case layout.RolloutOrders != "" && hasPrefix(c.Key, layout.RolloutOrders):
+			st.applyOrder(c)
+		case layout.Rollouts != "" && hasPrefix(c.Key, layout.Rollouts):
+			st.applyRecord(c)
 		}
 	}
 	st.applyNewestConfig(config)
@@ -120,6 +125,7 @@
 		st.picker.Forget(id)
 		st.calls.Forget(id)
 		st.rateLimits.Forget(id)
+		st.updatePresence(now)
 		st.log.Write(event.UpstreamChanged, "upstream", id, "state", "entry removed", "store_revision", c.Modified)
 		return
 	}
@@ -142,6 +148,8 @@
 		st.pool.CloseIdle(e.Address)
 		st.rateLimits.Forget(e.ID)
 	}
+	st.rolloutOf(e.Service)
+	st.updatePresence(now)
 	old.Seq = e.Seq
 	if known && old.Entry == e {
 		return
--- a/router/direct/updates.go
+++ b/router/direct/updates.go
@@ -75,6 +75,7 @@
 		})
 	}
 	n.LeavingUpstreams = st.leavingReports(now)
+	n.Rollouts = st.rolloutReports(now)
 	n.Limits = wireconv.LimitsToWire(st.rateLimits.Reports(now))
 	n.Quarantine = wireconv.QuarantineToWire(st.quarantine.Report(now))
 	st.renamed = slices.DeleteFunc(st.renamed, func(r renamedUpstream) bool { return now.Sub(r.renamedAt) > identityBroadcastTime })
@@ -132,6 +133,7 @@
 	st.applyPresence(n, now)
 	st.picker.UpdatePeer(ids.VM(n.GetSender()), work, slow, now)
 	st.calls.UpdatePeer(ids.VM(n.GetSender()), calls, failing, now)
+	st.mergeRollouts(ids.VM(n.GetSender()), n.GetRollouts(), work, calls, now)
 	for _, h := range n.GetHomes() {
 		st.applyCachedPrompt(h, now)
 	}
