--- a/core/rollout/counts.go
+++ b/core/rollout/counts.go
@@ -64,17 +64,25 @@
 	// suspects are the upstreams at which any router has seen a bad answer.
 	suspects map[ids.VM]bool
 	pending  map[*Sent]bool
-	// ownHistogram holds the durations of the old versions' answers at this router, histogram those of all, and before those of the time
-	// before the order at this router.
-	ownHistogram, histogram, before map[Route]*histogram
+	// ownHistogram holds the durations of the old versions' latest answers at this router, also from before the order, and histogram those
+	// of all routers.
+	ownHistogram, histogram map[Route]*histogram
 }
 
 func (c *counts) reset(d time.Duration) {
-	before := c.ownHistogram
+	own := c.ownHistogram
+	if own == nil {
+		own = map[Route]*histogram{}
+	}
+	all := map[Route]*histogram{}
+	for route, h := range own {
+		sum := *h
+		all[route] = &sum
+	}
 	*c = counts{
 		slotLength: max(minSlot, d/slotsPerOrder), own: map[cellKey]*Counts{}, sums: map[cellKey]Counts{}, peers: map[peerKey]*peerCounts{},
 		slots: map[Route][]slot{}, suspects: map[ids.VM]bool{}, pending: map[*Sent]bool{},
-		ownHistogram: map[Route]*histogram{}, histogram: map[Route]*histogram{}, before: before,
+		ownHistogram: own, histogram: all,
 	}
 }
 
--- a/core/rollout/histogram.go
+++ b/core/rollout/histogram.go
@@ -10,8 +10,8 @@
 	slowFactor = 2.5
 	// minDurations is the number of old answers on a route from which their median is used.
 	minDurations = 4
-	// maxDurations bounds what a histogram of one router holds before it is halved while no order runs.
-	maxDurations = 4096
+	// maxDurations bounds what the histogram of one router and route holds before it is halved, so that it follows the latest answers.
+	maxDurations = 256
 	// bucketsPerDoubling gives the width of the buckets of durations: a factor of 1.19.
 	bucketsPerDoubling = 4
 	durationBuckets    = 96
@@ -65,26 +65,25 @@
 }
 
 // addDuration adds the duration of an answer of an old version at this router.
-func (c *counts) addDuration(route Route, d time.Duration, _ time.Time) {
-	own := histogramIn(c.ownHistogram, route)
+func (c *counts) addDuration(route Route, d time.Duration) {
+	own, all := histogramIn(c.ownHistogram, route), c.histogramOf(route)
 	if own.total() >= maxDurations {
-		return
+		for b, n := range own {
+			own[b] -= n / 2
+			all[b] -= n / 2
+		}
 	}
 	own.add(bucketOf(d), 1)
-	c.histogramOf(route).add(bucketOf(d), 1)
+	all.add(bucketOf(d), 1)
 }
 
 // median returns the median duration of the old versions' answers on a route.
 func (c *counts) median(route Route) (time.Duration, bool) {
-	if h := c.histogram[route]; h != nil {
-		if m, ok := h.median(); ok {
-			return m, true
-		}
-	}
-	if h := c.before[route]; h != nil {
-		return h.median()
+	h := c.histogram[route]
+	if h == nil {
+		return 0, false
 	}
-	return 0, false
+	return h.median()
 }
 
 // slowLimit returns the duration above which an answer on a route is slow.
--- a/core/rollout/observe.go
+++ b/core/rollout/observe.go
@@ -69,7 +69,7 @@
 	limit, known := t.counts.slowLimit(s.request.Route)
 	slow := known && o.Duration > limit && s.request.UpstreamAge >= warmUp
 	if s.class == ClassOld && !o.Failed && o.Duration > 0 {
-		t.counts.addDuration(s.request.Route, o.Duration, now)
+		t.counts.addDuration(s.request.Route, o.Duration)
 	}
 	if s.class == ClassNew && !o.Failed && !known && o.Duration > 0 {
 		// Without answers of the old versions to compare with, a slow answer cannot be told from a sound one.
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -10,6 +10,11 @@
 	planSlack = 0.8
 	// rampTop is the greatest share before the handover.
 	rampTop = 0.5
+	// canaryTop is the greatest share in the canary.
+	canaryTop = 0.7
+	// canaryRate is the number of requests a second that the new version gets in the canary at least, up to the expose share, so that a
+	// version that turns bad late is seen.
+	canaryRate = 4
 	// doubtShare is the share while an answer speaks against the version, so that the doubt is resolved soon.
 	doubtShare = 0.3
 	// minRun is the least time from the first upstream of the new version to the verdict, as far as the order leaves it.
@@ -55,18 +60,36 @@
 func (s Settings) canaryShare(e Evidence, p plan, j Judgement) Share {
 	rate := requestRate(e)
 	left := (p.rampAt - e.Elapsed).Seconds()
-	if left <= 0 || rate <= 0 {
+	if left <= 0 {
 		return s.ExposeShare
 	}
-	rest := rate * (rampTop*0.75*(p.handoverAt-p.rampAt).Seconds() + (p.completeAt - p.handoverAt).Seconds())
-	total := float64(s.ExposeShare)*rate*p.completeAt.Seconds() + planSlack*float64(s.ExposeSlack)
-	share := (total - float64(e.Exposed) - rest) / (rate * left)
-	top := rampTop / 1.0
+	rest := rate * (0.75*rampTop*(p.handoverAt-p.rampAt).Seconds() + (p.completeAt - p.handoverAt).Seconds())
+	share := (s.planned(rate, p) - float64(e.Exposed) - rest) / (rate * left)
 	if j.Suspicion > 0 {
 		share = max(share, doubtShare)
 	}
-	share = min(share, top, s.affordable(e, rate))
-	return Share(max(share, min(float64(s.ExposeShare), 1)))
+	share = min(share, canaryTop, s.affordable(e, rate))
+	return Share(max(share, min(float64(s.ExposeShare), canaryRate/rate)))
+}
+
+// rampShare returns the share for the ramp, which leaves exposure for the time in which a version that is bad under load is found out.
+func (s Settings) rampShare(e Evidence, p plan, r Record) Share {
+	rate := requestRate(e)
+	share := rampTop / 2
+	if e.Elapsed >= (p.rampAt+p.handoverAt)/2 {
+		share = rampTop
+	}
+	left := max(0.25, (p.handoverAt - e.Elapsed).Seconds())
+	share = min(share, (s.planned(rate, p)-float64(e.Exposed)-rate*lag.Seconds())/(rate*left))
+	if !r.Proven {
+		share = min(share, s.affordable(e, rate))
+	}
+	return max(Share(share), s.ExposeShare)
+}
+
+// planned returns the exposure that is planned for until the end of the plan.
+func (s Settings) planned(rate float64, p plan) float64 {
+	return float64(s.ExposeShare)*rate*p.completeAt.Seconds() + planSlack*float64(s.ExposeSlack)
 }
 
 // affordable returns the share that keeps the exposure within the bound while a change of the share spreads.
@@ -77,5 +100,5 @@
 
 // requestRate returns the service's requests a second since the order.
 func requestRate(e Evidence) float64 {
-	return float64(e.Requests) / max(1, e.Elapsed.Seconds())
+	return max(0.01, float64(e.Requests)/max(1, e.Elapsed.Seconds()))
 }
--- a/core/rollout/step.go
+++ b/core/rollout/step.go
@@ -180,17 +180,11 @@
 	case Canary:
 		return s.canaryShare(e, p, j)
 	case Ramp:
-		share := rampTop / 2
-		if e.Elapsed >= (p.rampAt+p.handoverAt)/2 {
-			share = rampTop
-		}
+		share := s.rampShare(e, p, r)
 		if !f.enough() || j.Suspicion > 0 {
-			share = min(share, max(float64(r.Share), rampTop/2))
-		}
-		if !r.Proven {
-			share = min(share, max(s.affordable(e, requestRate(e)), float64(s.ExposeShare)))
+			share = min(share, max(r.Share, rampTop/2))
 		}
-		return Share(share)
+		return share
 	case Handover, Completed:
 		return 1
 	case RolledBack:
