Rollouts: the pace of generations relative to the model, and no moves to a version that is not proven

It is relative to the model now, and faster runs count as equal. In a handover whose version is still limited by the exposure, generations were moved on from one old upstream to the next until their attempts were used up.

--- a/core/placement/token_time.go
+++ b/core/placement/token_time.go
@@ -34,11 +34,16 @@
 func (t *TokenTime) GenerationTime(m EngineModel, req Request) time.Duration {
 	perToken := t.mean
 	if perToken == 0 {
-		perToken = m.Step + time.Duration(m.Slots/assumedLoadDivisor)*m.StepPerRun
+		perToken = m.UsualTokenTime()
 	}
 	return m.TimeToFirstEvent(Work{}, req.Prompt, 1) + time.Duration(req.Output)*perToken
 }
 
+// UsualTokenTime returns the time per output token of an engine in usual use.
+func (m EngineModel) UsualTokenTime() time.Duration {
+	return m.Step + time.Duration(m.Slots/assumedLoadDivisor)*m.StepPerRun
+}
+
 // assumedLoadDivisor gives the share of an engine's slots that is assumed to be in use without measurements: one in this
 // many.
 const assumedLoadDivisor = 8
--- a/router/direct/rollout_count.go
+++ b/router/direct/rollout_count.go
@@ -8,6 +8,7 @@
 
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/fleet"
+	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/rollout"
 )
 
@@ -106,24 +107,27 @@
 	s.recordAnswered(r.sent, r.upstream, rollout.Outcome{Duration: s.pace(r)}, true)
 }
 
+// minPace is the least pace. Runs that are faster than predicted count as equal: a new upstream with little work may only meet the prediction
+// while the old ones, with much work, do better than it.
+const minPace = 0.5
+
 // pace returns the time that a run takes relative to what is expected, as a part of a second: the greater one of the time to the first
-// event, relative to the prediction without the upstream's own slowness, and the time between events, relative to the mean over all
-// engines. The ratios make requests of different sizes comparable. It returns zero if neither is known.
+// event, relative to the prediction without the upstream's own slowness, and the time between events, relative to that of an engine in
+// usual use. The ratios make requests of different sizes comparable. They do not use measured means, which change with the versions.
 func (s *stream) pace(r *run) time.Duration {
-	now := s.clock.Now()
-	s.state.mu.Lock()
-	defer s.state.mu.Unlock()
-	ratio := 0.0
+	ratio := minPace
 	if r.resumeFrom == nil {
 		first := r.firstEventAt
 		if first.IsZero() {
-			first = now
+			first = s.clock.Now()
 		}
-		expected := max(time.Duration(float64(r.predicted)/max(1, r.slowness)), s.model.PrefillTime(s.placementReq.Prompt), time.Millisecond)
-		ratio = float64(first.Sub(r.placedAt)) / float64(expected)
+		unloaded := s.model.TimeToFirstEvent(placement.Work{}, s.placementReq.Prompt, 1)
+		expected := max(time.Duration(float64(r.predicted)/max(1, r.slowness)), unloaded, time.Millisecond)
+		ratio = max(ratio, float64(first.Sub(r.placedAt))/float64(expected))
 	}
 	if e := s.service.Engine; e != nil && r.stall.events > 1 {
-		ratio = max(ratio, s.tokenTime.Ratio(r.stall.lastEventAt.Sub(r.firstEventAt), (r.stall.events-1)*e.EventTokens))
+		expected := s.model.UsualTokenTime() * time.Duration((r.stall.events-1)*e.EventTokens)
+		ratio = max(ratio, float64(r.stall.lastEventAt.Sub(r.firstEventAt))/float64(expected))
 	}
 	return time.Duration(ratio * float64(time.Second))
 }
--- a/router/direct/rollout_handover.go
+++ b/router/direct/rollout_handover.go
@@ -79,6 +79,10 @@
 	if v == nil || !v.handingOver() || v.Class(rollout.Version(r.upstream.Version)) != rollout.ClassOld {
 		return false
 	}
+	if choice, _ := s.choose(now); !choice.New() {
+		// The new version has not been shown to be good, so that the share that it gets is still limited.
+		return false
+	}
 	margin := max(minForcedMove, time.Duration(forcedMoveShare*float64(v.order.Duration)))
 	if v.Elapsed(now) >= v.order.Duration-margin {
 		return true
