--- a/router/direct/rollout_leader.go
+++ b/router/direct/rollout_leader.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"slices"
-	"strings"
 	"time"
 
 	"bilberrylug.dev/core/event"
@@ -22,7 +21,7 @@
 	leaderLease   = 2 * time.Second
 	leaderRenewal = 600 * time.Millisecond
 	// leaderStagger is the time by which each router waits longer than the one before it, so that few ask the store at once.
-	leaderStagger = 400 * time.Millisecond
+	leaderStagger = 300 * time.Millisecond
 	// leaderTimeout bounds a call of the leader to the store, leaderBackoff is the pause after one that failed.
 	leaderTimeout = 1500 * time.Millisecond
 	leaderBackoff = 300 * time.Millisecond
@@ -106,20 +105,48 @@
 		}
 	}
 	slices.Sort(out)
-	if len(out) == 0 || st.rollouts.leader.at != 0 {
+	now := st.clock.Now()
+	if len(out) == 0 || st.rollouts.leader.at != 0 && !st.leaderSilent(now) {
 		st.rollouts.vacantSince = time.Time{}
 	} else if st.rollouts.vacantSince.IsZero() {
-		st.rollouts.vacantSince = st.clock.Now()
+		st.rollouts.vacantSince = now
 	}
 	return out
 }
 
-// isTurn reports whether this router may take the leader's key: there is none, and the routers that precede this one have had time to.
+// minLeaderSilence is the least time without an update of the leader after which another router takes the key over.
+const minLeaderSilence = time.Second
+
+// leaderSilent reports whether the leader has sent this router no update for a while in which others have. Its lease may last much longer.
+// To take the key from one that is alive does no harm, since its writes are conditional on the key. The caller must hold st.mu.
+func (st *state) leaderSilent(now time.Time) bool {
+	r := st.rollouts
+	var v leaderValue
+	if json.Unmarshal([]byte(r.leader.value), &v) != nil {
+		return false
+	}
+	if v.Router == r.router {
+		// This process asks only while it does not lead: the key is that of an earlier start.
+		return true
+	}
+	limit := max(minLeaderSilence, 2*st.picker.PeerTTL/intervalsUntilStale)
+	if now.Sub(r.leader.seenAt) <= limit || now.Sub(r.peerRunning[v.Router].at) <= limit {
+		return false
+	}
+	for vm, p := range r.peerRunning {
+		if vm != v.Router && now.Sub(p.at) <= limit {
+			return true
+		}
+	}
+	return len(st.routers) <= 1
+}
+
+// isTurn reports whether this router may take the leader's key: nobody leads, and the routers that precede this one have had time to.
 func (st *state) isTurn(now time.Time) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	r := st.rollouts
-	if r.leader.at != 0 || r.vacantSince.IsZero() {
+	if r.vacantSince.IsZero() {
 		return false
 	}
 	before := 0
@@ -144,7 +171,8 @@
 	// Marshalling a string and a number cannot fail.
 	value, _ := json.Marshal(leaderValue{Router: l.rollouts.router, Lease: lease.ID})
 	key := l.leaderKey()
-	_, commitErr := l.store.Commit(ctx, store.Txn{Expect: []store.Expected{{Key: key}}, Puts: []store.Put{{Key: key, Value: value, Lease: lease}}})
+	before := locked(&l.mu, func() store.Revision { return l.rollouts.leader.at })
+	_, commitErr := l.store.Commit(ctx, store.Txn{Expect: []store.Expected{{Key: key, Modified: before}}, Puts: []store.Put{{Key: key, Value: value, Lease: lease}}})
 	if err := l.readBack(ctx); err != nil {
 		l.failed("read the leader's key", errors.Join(commitErr, err))
 		return
@@ -198,128 +226,16 @@
 	l.log.Write(event.RolloutWriteFailed, "call", call, "error", err.Error())
 }
 
-// readBack reads the leader's key and all records from the store.
-func (l *rolloutLeader) readBack(ctx context.Context) error {
-	prefix := l.decode.Layout.Rollouts
-	leader := false
-	after := ""
-	for {
-		page, err := l.store.Range(ctx, prefix, after)
-		if err != nil {
-			return err
-		}
-		for _, i := range page.Items {
-			leader = leader || i.Key == l.leaderKey()
-			if strings.HasPrefix(i.Key, prefix) {
-				l.applyRecord(store.Change{Item: i})
-			}
-			after = i.Key
-		}
-		if page.More && len(page.Items) > 0 {
-			continue
-		}
-		if !leader {
-			l.applyRecord(store.Change{Item: store.Item{Key: l.leaderKey(), Modified: page.Revision}, Removed: true})
-		}
-		return nil
-	}
-}
-
 // applyLeader applies a change of the leader's key. The caller must hold st.mu.
 func (st *state) applyLeader(c store.Change) {
 	r := st.rollouts
 	if c.Modified < r.leader.at {
 		return
 	}
-	r.leader = leaderKey{at: c.Modified, value: string(c.Value)}
+	if c.Modified > r.leader.at {
+		r.leader = leaderKey{at: c.Modified, value: string(c.Value), seenAt: st.clock.Now()}
+	}
 	if c.Removed {
 		r.leader = leaderKey{}
 	}
 }
-
-// step decides on the rollout of a service, and writes the decision.
-func (l *rolloutLeader) step(ctx context.Context, service ids.Service) {
-	p, ok := l.propose(service)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, 2*leaderTimeout)
-	defer cancel()
-	_, err := l.store.Commit(ctx, p.txn)
-	readErr := l.readBack(ctx)
-	held := locked(&l.mu, func() leaderKey { return l.rollouts.leader })
-	if readErr == nil && (held.at != l.at || held.value != l.value) {
-		l.drop("another router has taken the leader's key")
-	}
-	if err = errors.Join(err, readErr); err != nil {
-		// The answer may be lost: the record that was read back tells whether the decision was written.
-		l.failed("write the decision on "+string(service), err)
-	}
-	l.log.Write(event.RolloutDecision, append(p.fields, "error", errorText(err))...)
-}
-
-// proposal is a decision to be written.
-type proposal struct {
-	txn    store.Txn
-	fields []any
-}
-
-// propose returns the next decision on the rollout of a service, and false if there is nothing to write.
-func (l *rolloutLeader) propose(service ids.Service) (proposal, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.rollouts.services[service]
-	if !s.running() {
-		return proposal{}, false
-	}
-	now := l.clock.Now()
-	l.updatePresence(now)
-	oldRunning := l.oldRunning(s, now)
-	record, d := s.Step(oldRunning, now)
-	l.checkVerdict(s)
-	if !d.Write {
-		return proposal{}, false
-	}
-	value, err := json.Marshal(record)
-	if err != nil {
-		l.log.Write(event.RolloutWriteFailed, "service", service, "error", err.Error())
-		return proposal{}, false
-	}
-	statusKey, status := l.decode.RolloutStatus(service, record.Status(), s.orderValue)
-	key := l.recordKey(service)
-	out := proposal{
-		txn: store.Txn{
-			Expect: []store.Expected{
-				{Key: l.leaderKey(), Modified: l.at}, {Key: l.decode.Layout.RolloutOrders + string(service), Modified: s.order.Revision},
-				{Key: key, Modified: s.recordAt},
-			},
-			Puts: []store.Put{{Key: key, Value: value}, {Key: statusKey, Value: status}},
-		},
-		fields: []any{
-			"service", service, "to", record.To, "phase", record.Phase, "share", float64(record.Share), "reason", d.Reason,
-			"judgement", d.Judgement.String(), "log_ratio", d.Judgement.LogRatio, "proven", record.Proven, "requests", record.Requests, "exposed", record.Exposed,
-			"elapsed", record.Elapsed.String(), "old_running", oldRunning, "fence", l.at, "order_revision", s.order.Revision, "record_before", s.recordAt,
-		},
-	}
-	return out, true
-}
-
-// oldRunning returns the number of requests that run at upstreams of the old versions, as far as the routers have told. The caller must
-// hold st.mu.
-func (st *state) oldRunning(s *serviceRollout, now time.Time) int {
-	n := 0
-	ttl := max(minRunningTTL, st.picker.PeerTTL)
-	calls, work := st.calls.OwnCalls(), st.picker.OwnWork()
-	for _, id := range st.oldUpstreams(s) {
-		n += calls[id] + max(0, work[id].Running)
-		for _, p := range st.rollouts.peerRunning {
-			if now.Sub(p.at) <= ttl {
-				n += p.running[id]
-			}
-		}
-	}
-	return n
-}
-
-// minRunningTTL is how long the requests that another router has told of count at least.
-const minRunningTTL = 2 * time.Second
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -23,7 +23,7 @@
 	generation uint64
 	// heardAt is when another router or the store was last heard, also if the machine was suspended since.
 	heardAt boottime.Instant
-	// leader is the key of the leader as it is in the store, vacantSince since when there is none while one is needed.
+	// leader is the key of the leader as it is in the store, vacantSince since when nobody leads although there is something to decide.
 	leader      leaderKey
 	vacantSince time.Time
 	// peerRunning holds the requests that run at upstreams, as the other routers have told.
@@ -48,6 +48,8 @@
 type leaderKey struct {
 	at    store.Revision
 	value string
+	// seenAt is when this router first saw the value.
+	seenAt time.Time
 }
 
 // peerRunning holds the numbers of requests that another router runs, by upstream.
