Rollouts: documentation, and orders are listed before upstreams

A router that starts would take a version that was rolled back for one in service while it has listed the upstreams and not yet the records. The exposure counts each host of an ordered copy once.

--- a/core/mirror/replica.go
+++ b/core/mirror/replica.go
@@ -35,15 +35,16 @@
 	Rollouts      string
 }
 
-// Prefixes returns what is listed: the prefixes and the key of the configuration, the upstreams first.
+// Prefixes returns what is listed: the prefixes and the key of the configuration. The orders and records of rollouts come before the
+// upstreams, so that a router that starts knows which versions may get requests before it knows any upstream.
 func (l Layout) Prefixes() []string {
-	out := []string{l.Upstreams, l.Config, l.Routers}
+	var out []string
 	for _, prefix := range []string{l.RolloutOrders, l.Rollouts} {
 		if prefix != "" {
 			out = append(out, prefix)
 		}
 	}
-	return out
+	return append(out, l.Upstreams, l.Config, l.Routers)
 }
 
 // WithoutRollouts returns the layout without the keys of rollouts.
--- a/router/direct/copier.go
+++ b/router/direct/copier.go
@@ -153,8 +153,11 @@
 	if err != nil {
 		return err
 	}
+	before := locked(&c.s.mu, func() *kvCopy { return c.ordered })
 	c.setOrdered(&kvCopy{host: to, ref: relay.Copy{Address: c.r.upstream.Address, Name: name}, source: c.r.upstream, ordered: true})
-	c.s.recordCopyHost(to)
+	if before == nil || before.host.ID != to.ID {
+		c.s.recordCopyHost(to)
+	}
 	if c.s.rollouts != nil {
 		// During a handover the run moves to the copy.
 		c.s.wake()
