--- a/core/rollout/choose.go
+++ b/core/rollout/choose.go
@@ -129,6 +129,9 @@
 	if !p.running || p.share == 0 || t.isolated(now) {
 		return 0
 	}
+	if p.phase == Handover && t.suspicious {
+		return min(p.share, rampTop)
+	}
 	if p.proven || p.share <= t.settings.ExposeShare {
 		return p.share
 	}
--- a/core/rollout/counts.go
+++ b/core/rollout/counts.go
@@ -9,10 +9,11 @@
 
 const (
 	// minSlot and slotsPerOrder give the length of the slots over which old and new are compared.
-	minSlot       = time.Second
-	slotsPerOrder = 32
+	// Within a second a fault that begins or ends hits the versions unequally when the share changes.
+	minSlot       = 500 * time.Millisecond
+	slotsPerOrder = 128
 	// maxSlots bounds the slots. An order that takes longer counts in the last one.
-	maxSlots = 3 * slotsPerOrder
+	maxSlots = 2 * slotsPerOrder
 	// maxPeers bounds the starts of other routers whose counts are kept.
 	maxPeers = 2048
 	// maxOwnCells bounds the cells of this router.
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -11,7 +11,7 @@
 	// rampTop is the greatest share before the handover.
 	rampTop = 0.5
 	// canaryTop is the greatest share in the canary.
-	canaryTop = 0.7
+	canaryTop = 0.5
 	// canaryRate is the number of requests a second that the new version gets in the canary at least, up to the expose share, so that a
 	// version that turns bad late is seen.
 	canaryRate = 4
--- a/core/rollout/step.go
+++ b/core/rollout/step.go
@@ -139,10 +139,10 @@
 		if e.Elapsed < p.completeAt || e.Elapsed-r.Since < p.minHandover {
 			return Handover, r.Reason
 		}
-		if j.Doubtful || !usable {
+		switch doubt := j.Doubtful || !usable; {
+		case doubt && e.Elapsed >= p.lastAt:
 			return RolledBack, "time is over: " + j.String()
-		}
-		if f.OldRunning == 0 || e.Elapsed >= p.lastAt {
+		case !doubt && (f.OldRunning == 0 || e.Elapsed >= p.lastAt):
 			return Completed, j.String()
 		}
 	case Completed, RolledBack:
--- a/core/rollout/tracker.go
+++ b/core/rollout/tracker.go
@@ -15,6 +15,8 @@
 	// baselineTime is how long versions that appear at a service without an order are taken to be in service: a router that starts learns
 	// the entries one by one.
 	baselineTime = 3 * time.Second
+	// maxPast bounds the orders whose verdicts are kept after a newer order.
+	maxPast = 16
 )
 
 // Presence describes the registered upstreams of one version.
@@ -49,13 +51,18 @@
 	baseline []Version
 	policy   *policy
 
+	// past holds the verdicts of earlier orders, the oldest first. A store that returns from an older copy may name one of them again.
+	past []pastVerdict
+
 	// The fields below belong to the newest order seen.
 	rollout orderKey
 	verdict Verdict
 	// reason is why this router has rejected the version.
-	reason   string
-	counts   counts
-	sequence uint64
+	reason string
+	// suspicious means that the old versions are needed to compare with.
+	suspicious bool
+	counts     counts
+	sequence   uint64
 }
 
 // New returns the tracker of a service at a router. started distinguishes one start of the router from the next.
@@ -79,15 +86,42 @@
 	c := *o
 	t.order = &c
 	if key := o.key(); key != t.rollout {
-		t.rollout, t.orderAt, t.verdict, t.reason = key, seen, Undecided, ""
+		t.remember()
+		t.rollout, t.orderAt, t.reason = key, seen, "known before"
+		t.verdict, t.suspicious = t.recall(key), false
 		t.counts.reset(o.Duration)
 	}
 	t.adoptRecord(seen)
 	t.refresh()
 }
 
-// SetRecord records the record as it is in the store, nil if there is none, and the revision of its key. An older revision than the last
-// one is ignored.
+// pastVerdict is the verdict of an earlier order.
+type pastVerdict struct {
+	key     orderKey
+	verdict Verdict
+}
+
+// remember keeps the verdict of the order that is replaced.
+func (t *Tracker) remember() {
+	if t.verdict == Undecided {
+		return
+	}
+	t.past = slices.DeleteFunc(t.past, func(p pastVerdict) bool { return p.key == t.rollout })
+	t.past = append(t.past, pastVerdict{t.rollout, t.verdict})
+	t.past = t.past[max(0, len(t.past)-maxPast):]
+}
+
+func (t *Tracker) recall(key orderKey) Verdict {
+	for _, p := range t.past {
+		if p.key == key {
+			return p.verdict
+		}
+	}
+	return Undecided
+}
+
+// SetRecord records the record as it is in the store, nil if there is none, and the revision at which its key was last changed or found
+// removed. An older revision than the last one is ignored.
 func (t *Tracker) SetRecord(r *Record, revision store.Revision, now time.Time) {
 	if revision < t.recordRevision {
 		return
@@ -164,7 +198,7 @@
 
 // Verdict returns the highest verdict that this router knows for the order, and why it has rejected the version if it has.
 func (t *Tracker) Verdict() (Verdict, string) {
-	if t.order == nil {
+	if t.order == nil || t.verdict == Undecided {
 		return Undecided, ""
 	}
 	return t.verdict, t.reason
