--- a/router/direct/rollout_handover.go
+++ b/router/direct/rollout_handover.go
@@ -20,28 +20,35 @@
 
 // moveOldRuns makes the generations that run at old versions move to new ones while those take over.
 func (st *state) moveOldRuns() {
-	for _, s := range st.runsToMove() {
+	proven, others := st.runsToMove()
+	for _, s := range proven {
 		s.prepareMove()
 		s.wake()
 	}
+	for _, s := range others {
+		s.wake()
+	}
 }
 
-// runsToMove returns the streams that run at old versions during a handover.
-func (st *state) runsToMove() []*stream {
+// runsToMove returns the streams that run at old versions during a handover: those whose new version has been shown to be good, and others.
+func (st *state) runsToMove() (proven, others []*stream) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	var out []*stream
 	for _, r := range st.rollouts.services {
 		if !r.handingOver() {
 			continue
 		}
 		for _, id := range st.oldUpstreams(r) {
 			for s := range st.running[id] {
-				out = append(out, s)
+				if r.record.Proven {
+					proven = append(proven, s)
+				} else {
+					others = append(others, s)
+				}
 			}
 		}
 	}
-	return out
+	return proven, others
 }
 
 // oldUpstreams returns the registered upstreams of a service's old versions. The caller must hold st.mu.
@@ -79,14 +86,18 @@
 	if v == nil || !v.handingOver() || v.Class(rollout.Version(r.upstream.Version)) != rollout.ClassOld {
 		return false
 	}
-	if choice, _ := s.choose(now); !choice.New() {
-		// The new version has not been shown to be good, so that the share that it gets is still limited.
+	// A version that has not been shown to be good gets a limited share also in the handover, so that a generation may find itself at an
+	// old upstream again. It moves once, when time is nearly over.
+	if choice, _ := s.choose(now); !choice.New() || !v.record.Proven && s.leftOld {
 		return false
 	}
 	margin := max(minForcedMove, time.Duration(forcedMoveShare*float64(v.order.Duration)))
 	if v.Elapsed(now) >= v.order.Duration-margin {
 		return true
 	}
+	if !v.record.Proven {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.copier != nil && s.copier.ordered != nil && s.mayContinueAt(s.copier.ordered.host, now)
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -110,6 +110,7 @@
 		return 0, err
 	}
 	if s.mustMove(r) && s.mayReplaceRun(r) {
+		s.leftOld = true
 		return 0, errOldVersion
 	}
 	if r.stall.events == 0 {
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -41,6 +41,8 @@
 	promptMoves int
 	// resumePause is the last pause before an attempt to resume, or zero since the last event.
 	resumePause time.Duration
+	// leftOld is set once a run has been ended because its version is replaced.
+	leftOld bool
 	// failedAnswer is the last failure answer of an upstream.
 	failedAnswer *answer
 
