--- a/core/rollout/choose.go
+++ b/core/rollout/choose.go
@@ -130,7 +130,7 @@
 		return 0
 	}
 	if p.phase == Handover && t.suspicious {
-		return min(p.share, rampTop)
+		return min(p.share, comparedShare)
 	}
 	if p.proven || p.share <= t.settings.ExposeShare {
 		return p.share
--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -25,12 +25,14 @@
 	// uncontrolledLimit bounds the suspicion that comes from times at which the old versions gave less than controlShare of the answers, as in
 	// the handover: a fault that hits both versions cannot be told from a bad version then.
 	uncontrolledLimit = 6.5
-	controlShare      = 0.25
+	controlShare      = 0.1
 	// controlAnswers is the number of answers around a slot in which the old versions' share is looked at.
-	controlAnswers = 8
+	controlAnswers = 16
 	// controlAt is the suspicion from which a router sends a part of its requests to the old versions again in the handover, so that the
 	// versions can be compared. It takes two bad answers close to each other.
 	controlAt = 5
+	// comparedShare is the share of the new version meanwhile. It is high, since a version that is bad under load would look good with less.
+	comparedShare = 0.75
 	// isolationPart is the time, in percent of the rollback time, after which a router that hears nobody is taken to be cut off. The rest is
 	// for requests that are under way.
 	isolationPart = 60
--- a/core/rollout/load_test.go
+++ b/core/rollout/load_test.go
@@ -67,8 +67,12 @@
 	return ""
 }
 
+// runs is the number of seeds of each load.
 const runs = 16
 
+// crashDomain is a failure domain in which upstreams of all versions are.
+const crashDomain = ids.FailureDomain("fd-0")
+
 var _ = Describe("the verdict by the deadline", func() {
 	DescribeTable("is completed for a good version", func(l load) {
 		for seed := range uint64(runs) {
@@ -89,7 +93,7 @@
 			return answer{failed: w.rng.Float64() < 0.02, factor: 1}
 		})),
 		Entry("good beside a crash of a failure domain", site().with(func(w *world, u *upstream, _ rollout.Route, elapsed time.Duration) answer {
-			return answer{failed: u.domain == "fd-0" && w.inFault(elapsed, time.Second), factor: 1}
+			return answer{failed: u.domain == crashDomain && w.inFault(elapsed, time.Second), factor: 1}
 		})),
 		Entry("good with one upstream that fails all", site().with(func(w *world, u *upstream, _ rollout.Route, elapsed time.Duration) answer {
 			return answer{failed: u.id == w.firstNew() && elapsed > w.faultAt(), factor: 1}
@@ -123,7 +127,7 @@
 			return answer{failed: u.version == newVersion && w.newRate() > 8 && w.rng.Float64() < 0.5, factor: 1}
 		})),
 		Entry("bad beside a crash of a failure domain", site().with(func(w *world, u *upstream, _ rollout.Route, elapsed time.Duration) answer {
-			crashed := u.domain == "fd-0" && elapsed > 4*time.Second && elapsed < 5*time.Second
+			crashed := u.domain == crashDomain && elapsed > 4*time.Second && elapsed < 5*time.Second
 			return answer{failed: crashed || u.version == newVersion && w.rng.Float64() < 0.4, factor: 1}
 		})),
 		Entry("one router, one upstream", load{
@@ -145,12 +149,10 @@
 	It("is rolled_back for a version that never has an upstream", func() {
 		w := newWorld(1, site())
 		w.run(w.before)
-		w.begin(newVersion)
-		for _, u := range w.pool {
-			Expect(u.version).To(Equal(oldVersion))
-		}
 		w.upstreams = 0
+		w.begin(newVersion)
 		w.run(w.length)
-		Expect(w.phase()).NotTo(Equal(rollout.Canary))
+		Expect(w.phase()).To(Equal(rollout.RolledBack))
+		Expect(w.refused).To(BeZero())
 	})
 })
--- a/core/rollout/plan.go
+++ b/core/rollout/plan.go
@@ -8,8 +8,9 @@
 	guardSlack = 0.7
 	// planSlack is the part of the slack that the shares are planned for.
 	planSlack = 0.8
-	// rampTop is the greatest share before the handover.
-	rampTop = 0.5
+	// rampFirst is the first share of the ramp, and rampMean the mean one.
+	rampFirst = 0.25
+	rampMean  = 0.6
 	// canaryTop is the greatest share in the canary.
 	canaryTop = 0.5
 	// canaryRate is the number of requests a second that the new version gets in the canary at least, up to the expose share, so that a
@@ -19,6 +20,8 @@
 	doubtShare = 0.3
 	// minRun is the least time from the first upstream of the new version to the verdict, as far as the order leaves it.
 	minRun = 5 * time.Second
+	// maxHandover bounds the time in which all requests go to the new version and the old ones are not there to compare with.
+	maxHandover = 20 * time.Second
 	// lag is the time after which a share that was written is in force at all routers.
 	lag = time.Second
 )
@@ -47,9 +50,8 @@
 		end = start + run
 	}
 	left := end - start
-	handover := min(max(left/6, min(10*time.Second, 3*longestMedian)), left/3)
-	handover = min(handover, max(10*time.Second, left/10))
-	ramp := left / 8
+	handover := min(max(left/9, 3*longestMedian), left/3, maxHandover)
+	ramp := left / 5
 	return plan{
 		rampAt: end - handover - ramp, handoverAt: end - handover, completeAt: end, lastAt: max(end, d-margin*2/3),
 		minHandover: min(handover, lag),
@@ -63,7 +65,7 @@
 	if left <= 0 {
 		return s.ExposeShare
 	}
-	rest := rate * (0.75*rampTop*(p.handoverAt-p.rampAt).Seconds() + (p.completeAt - p.handoverAt).Seconds())
+	rest := rate * (rampMean*(p.handoverAt-p.rampAt).Seconds() + (p.completeAt - p.handoverAt).Seconds())
 	share := (s.planned(rate, p) - float64(e.Exposed) - rest) / (rate * left)
 	if j.Suspicion > 0 {
 		share = max(share, doubtShare)
@@ -75,10 +77,7 @@
 // rampShare returns the share for the ramp, which leaves exposure for the time in which a version that is bad under load is found out.
 func (s Settings) rampShare(e Evidence, p plan, r Record) Share {
 	rate := requestRate(e)
-	share := rampTop / 2
-	if e.Elapsed >= (p.rampAt+p.handoverAt)/2 {
-		share = rampTop
-	}
+	share := p.rampStep(e.Elapsed)
 	left := max(0.25, (p.handoverAt - e.Elapsed).Seconds())
 	share = min(share, (s.planned(rate, p)-float64(e.Exposed)-rate*lag.Seconds())/(rate*left))
 	if !r.Proven {
@@ -87,6 +86,18 @@
 	return max(Share(share), s.ExposeShare)
 }
 
+// rampStep returns the share of the ramp at a time. The last step leaves a fifth of the requests to the old versions, so that the versions can
+// still be compared when the load on the new one is nearly that of the handover.
+func (p plan) rampStep(elapsed time.Duration) float64 {
+	switch done := float64(elapsed-p.rampAt) / float64(max(1, p.handoverAt-p.rampAt)); {
+	case done < 0.25:
+		return rampFirst
+	case done < 0.5:
+		return 2 * rampFirst
+	}
+	return 0.8
+}
+
 // planned returns the exposure that is planned for until the end of the plan.
 func (s Settings) planned(rate float64, p plan) float64 {
 	return float64(s.ExposeShare)*rate*p.completeAt.Seconds() + planSlack*float64(s.ExposeSlack)
--- a/core/rollout/simulation_calls_test.go
+++ b/core/rollout/simulation_calls_test.go
@@ -48,6 +48,9 @@
 	if s.down || s.order == nil || s.order.Revision != order || s.recordRevision != known {
 		return false
 	}
+	if p := s.record; p != nil && p.For(*s.order) && (p.Phase.Final() && p.Phase != r.Phase || phaseOrder[r.Phase] < phaseOrder[p.Phase]) {
+		s.w.violations = append(s.w.violations, fmt.Sprintf("%s: %s after %s", s.orderName(), r.Phase, p.Phase))
+	}
 	s.recordRevision = s.next()
 	s.record = &r
 	if r.Phase.Final() {
@@ -107,7 +110,7 @@
 // request makes a request of a caller.
 func (w *world) request(route rollout.Route) {
 	r := w.fleet[w.rng.IntN(len(w.fleet))]
-	if !r.up {
+	if !r.up || len(r.known) == 0 {
 		return
 	}
 	if w.active {
@@ -123,6 +126,7 @@
 	sent := tracker.RecordRequest(rollout.Request{
 		Route: route, Version: u.version, Upstream: u.id, Domain: u.domain, UpstreamAge: w.now.Sub(u.since),
 	}, w.now)
+	w.countOrder(u)
 	isNew := w.active && u.version == newVersion
 	if isNew {
 		w.exposed++
@@ -156,7 +160,7 @@
 	c := r.tracker.Choose(w.rng.Float64(), w.now)
 	for _, allowed := range []func(rollout.Version) bool{c.Preferred, c.Fallback} {
 		var list []*upstream
-		for _, u := range w.pool {
+		for _, u := range r.known {
 			if !u.down && allowed(u.version) {
 				list = append(list, u)
 			}
--- a/core/rollout/simulation_test.go
+++ b/core/rollout/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bilberrylug.dev/core/ids"
@@ -68,7 +69,9 @@
 	up      bool
 	// cut means that the router reaches neither the store nor other routers; away, that it does not reach the store.
 	cut, away bool
-	leads     bool
+	// known are the upstreams that it has learnt of.
+	known []*upstream
+	leads bool
 }
 
 // load describes the service and its callers.
@@ -78,7 +81,8 @@
 	routes                      []rollout.Route
 	duration                    time.Duration
 	interval                    time.Duration
-	loss                        float64
+	loss, repeats               float64
+	maxDelay                    time.Duration
 	length, before              time.Duration
 	// answers tells how an upstream answers, given the time since the order.
 	answers func(w *world, u *upstream, route rollout.Route, elapsed time.Duration) answer
@@ -98,6 +102,8 @@
 	active bool
 
 	requests, exposed, refused, badAnswers, cutOff int
+	orders                                         []*orderStats
+	violations                                     []string
 	fiftieth                                       time.Time
 	seed                                           uint64
 	lateExposed                                    int
@@ -158,6 +164,7 @@
 // start starts a router anew.
 func (w *world) start(r *router) {
 	r.started++
+	r.known = nil
 	r.tracker = rollout.New(rollout.DefaultSettings(), service, r.id, r.started, w.now)
 	w.watch(r)
 }
@@ -171,6 +178,7 @@
 	r.tracker.SetOrder(w.store.order, w.now)
 	r.tracker.SetRecord(w.store.record, w.store.recordRevision, w.now)
 	r.tracker.SetPresent(w.present(), w.now)
+	r.known = slices.Clone(w.pool)
 }
 
 func (w *world) watchAll() {
@@ -193,6 +201,7 @@
 			by[u.version] = p
 		}
 		p.Upstreams++
+		p.Age = max(p.Age, w.now.Sub(u.since))
 		p.Slots += 16
 		if key := string(u.version) + "/" + string(u.domain); !domains[key] {
 			domains[key] = true
@@ -222,16 +231,6 @@
 	}
 }
 
-// remove stops the upstreams of a version.
-func (w *world) remove(v rollout.Version) {
-	for _, u := range w.pool {
-		if u.version == v {
-			u.down = true
-		}
-	}
-	w.watchAll()
-}
-
 // update sends a router's report to the others.
 func (w *world) update(r *router) {
 	if !r.up || r.cut {
@@ -242,7 +241,7 @@
 		if other == r || w.rng.Float64() < w.loss {
 			continue
 		}
-		w.at(time.Duration((5+95*w.rng.Float64())*float64(time.Millisecond)), func() {
+		deliver := func() {
 			if !other.up || other.cut || r.cut {
 				return
 			}
@@ -250,10 +249,19 @@
 			if ok {
 				other.tracker.Merge(report, w.now)
 			}
-		})
+		}
+		w.at(w.delay(), deliver)
+		if w.rng.Float64() < w.repeats {
+			w.at(w.delay(), deliver)
+		}
 	}
 }
 
+// delay returns the time that a state update takes.
+func (w *world) delay() time.Duration {
+	return 5*time.Millisecond + time.Duration(w.rng.Float64()*float64(max(w.maxDelay, 100*time.Millisecond)))
+}
+
 // arrive makes the callers' requests.
 func (w *world) arrive() {
 	if w.rate > 0 {
--- a/core/rollout/step.go
+++ b/core/rollout/step.go
@@ -126,7 +126,7 @@
 	clean := !j.Doubtful
 	switch r.Phase {
 	case Canary:
-		if e.Elapsed >= p.rampAt && usable && clean && (r.Proven || j.LogRatio <= 0 && s.affordable(e, requestRate(e)) >= rampTop/2) {
+		if e.Elapsed >= p.rampAt && usable && clean && (r.Proven || j.LogRatio <= 0 && s.affordable(e, requestRate(e)) >= rampFirst) {
 			return Ramp, j.String()
 		}
 		return s.timeOver(r, p, e, usable, j)
@@ -182,7 +182,7 @@
 	case Ramp:
 		share := s.rampShare(e, p, r)
 		if !f.enough() || j.Suspicion > 0 {
-			share = min(share, max(r.Share, rampTop/2))
+			share = min(share, max(r.Share, rampFirst))
 		}
 		return share
 	case Handover, Completed:
@@ -192,9 +192,10 @@
 	return 0
 }
 
-// Step returns the next record of the order, and whether the leader is to write it. It returns false in the decision without an order.
+// Step returns the next record of the order, and whether the leader is to write it. There is nothing to write without an
+// order, and before any upstream is known.
 func (t *Tracker) Step(oldRunning int, now time.Time) (Record, Decision) {
-	if t.order == nil || t.record != nil && !t.record.For(*t.order) && t.record.Order > t.order.Revision {
+	if t.order == nil || len(t.present) == 0 || t.record != nil && !t.record.For(*t.order) && t.record.Order > t.order.Revision {
 		return Record{}, Decision{}
 	}
 	f := Fleet{OldRunning: oldRunning}
--- a/core/rollout/tracker.go
+++ b/core/rollout/tracker.go
@@ -26,6 +26,9 @@
 	Upstreams, Domains int
 	// Slots is the number of requests that they take at once. It is zero if that is not known.
 	Slots int
+	// Age is the time since the oldest of the upstreams started. It is zero if that is not known. A router that starts tells by it which
+	// version was there first, if there is no record.
+	Age time.Duration
 }
 
 // Tracker holds what one router knows about the rollouts of one service. It is not safe for concurrent use.
@@ -170,25 +173,38 @@
 	}
 }
 
-// SetPresent records the registered upstreams by version.
+// SetPresent records the registered upstreams by version. A router that starts sets the order and the record first.
 func (t *Tracker) SetPresent(list []Presence, now time.Time) {
 	t.present = slices.DeleteFunc(slices.Clone(list), func(p Presence) bool { return p.Upstreams == 0 })
-	if t.order == nil && t.record == nil && len(t.present) > 0 {
-		served := slices.ContainsFunc(t.present, func(p Presence) bool { return slices.Contains(t.baseline, p.Version) })
-		if !served {
-			t.baseline = nil
-		}
-		if !served || now.Sub(t.createdAt) < baselineTime {
-			for _, p := range t.present {
-				if !slices.Contains(t.baseline, p.Version) {
-					t.baseline = append(t.baseline, p.Version)
-				}
-			}
-		}
+	if t.record == nil && (t.order == nil || len(t.baseline) == 0) {
+		t.setBaseline(now)
 	}
 	t.refresh()
 }
 
+// setBaseline takes the versions that are registered before the first record as those in service, apart from the one that an order names.
+// A version that appears later, while others are registered, is not in service until an order names it; nor is one that a router finds when it
+// starts, if its upstreams are much younger than the others.
+func (t *Tracker) setBaseline(now time.Time) {
+	served := slices.ContainsFunc(t.present, func(p Presence) bool { return slices.Contains(t.baseline, p.Version) })
+	if served && now.Sub(t.createdAt) >= baselineTime {
+		return
+	}
+	if !served {
+		t.baseline = nil
+	}
+	oldest := time.Duration(0)
+	for _, p := range t.present {
+		oldest = max(oldest, p.Age)
+	}
+	for _, p := range t.present {
+		named := t.order != nil && p.Version == t.order.To
+		if !named && 4*p.Age >= 3*oldest && !slices.Contains(t.baseline, p.Version) {
+			t.baseline = append(t.baseline, p.Version)
+		}
+	}
+}
+
 // Hear records that another router or the store was heard. A router that hears neither sends nothing to a version without a verdict.
 func (t *Tracker) Hear(now time.Time) {
 	if now.After(t.heardAt) {
