--- a/core/event/catalogue.go
+++ b/core/event/catalogue.go
@@ -38,6 +38,9 @@
 	ProbeUnanswered     = Kind{"EV3011", slog.LevelInfo, "probe of an upstream unanswered", "None, unless it persists. If waited is much longer than timeout, check the router's own VM."}
 	UpstreamLimit       = Kind{"EV3012", slog.LevelInfo, "request rate that an upstream takes changed", "None, unless it persists; check the upstream's load."}
 	UpstreamHeld        = Kind{"EV3013", slog.LevelInfo, "upstream wants no requests from this router for a time", "None, unless it persists; check the upstream's load."}
+	WindowBegun         = Kind{"EV3020", slog.LevelInfo, "upstream that has just started or recovered gets few requests at first", noAction}
+	WindowDecreased     = Kind{"EV3021", slog.LevelInfo, "window of an upstream decreased", "None, unless it persists; the named reason is a sign of overload or of a faulty upstream."}
+	UpstreamEstablished = Kind{"EV3022", slog.LevelInfo, "upstream carries what its peers carry", noAction}
 	AttemptStarted      = Kind{"EV4001", slog.LevelDebug, "attempt started", noAction}
 	AttemptLost         = Kind{"EV4002", slog.LevelWarn, "attempt lost", "Check the named upstream; the answer is resumed on another one."}
 	AnswerFailed        = Kind{"EV4003", slog.LevelWarn, "answer ended with a fault", "See the fault's remedy."}
@@ -62,6 +65,7 @@
 	PromptSuspected     = Kind{"EV4315", slog.LevelWarn, "upstream crashed as it began an answer", "None, unless it persists; the parts of its prompt are suspected."}
 	PartQuarantine      = Kind{"EV4316", slog.LevelWarn, "quarantine of a prompt part changed", "Find the prompt that holds the part; requests with an opened part are refused, since it crashes upstreams."}
 	QuarantineTrial     = Kind{"EV4317", slog.LevelInfo, "request sent as a trial of a quarantined prompt part", "None; its outcome ends or renews the quarantine."}
+	CallersShed         = Kind{"EV4320", slog.LevelWarn, "bodies or connections of callers closed for lack of room", "Check the callers at the named address; other callers are served. See docs/OPERATIONS.md, a crowd of hostile clients."}
 	CallUnknown         = Kind{"EV5001", slog.LevelWarn, "outcome of a call is unknown", "Look up the record at the service by its idempotency key."}
 	CallCancelled       = Kind{"EV5002", slog.LevelInfo, "call cancelled through the ledger", noAction}
 	LedgerWriteLost     = Kind{"EV5003", slog.LevelWarn, "reply to a ledger write lost", "None; the bucket is read back."}
@@ -82,10 +86,11 @@
 	Started, Stopping, Stopped, Ready, Reloaded, LinesDropped, SchedulingDelayed, SchedulingRecovered, Panicked,
 	ConfigActivated, ConfigUnreadable, StoreFailed, StoreReached, ChangesPulled, ValueFetched, PullFailed, StoreRestored, ConfigOutdated,
 	MemberChanged, ExchangeFailed, Draining, EntryUnreadable, UpstreamChanged, UpstreamLost, UpstreamRecovered, PeerChanged, UpstreamSlow, UpstreamFailing, ProbeUnanswered, UpstreamLimit, UpstreamHeld,
+	WindowBegun, WindowDecreased, UpstreamEstablished,
 	AttemptStarted, AttemptLost, AnswerFailed, AnswerClaimed, WitnessLost,
 	UpstreamUnhealthy, UpstreamHealthy,
 	RequestEnded, RequestRefused, RequestAttempt, RequestAttemptEnded, CopyCreated, CopyFailed, CopyFreed, CopyNotFreed, PromptListFailed, RequestWaiting, PromptsReceived, TimeLimitFailed, CallerClosed, ResumeWaiting,
-	PromptSuspected, PartQuarantine, QuarantineTrial,
+	PromptSuspected, PartQuarantine, QuarantineTrial, CallersShed,
 	CallUnknown, CallCancelled, LedgerWriteLost,
 	LeaseAcquired, LeaseLost, OrderGiven, OrderRefused,
 	RolloutOrdered, RolloutLeading, RolloutDecision, RolloutPhase, RolloutVerdict, RolloutWriteFailed,
--- a/router/direct/call.go
+++ b/router/direct/call.go
@@ -12,6 +12,8 @@
 	"bilberrylug.dev/core/fault"
 	"bilberrylug.dev/core/fleet"
 	"bilberrylug.dev/core/ids"
+	"bilberrylug.dev/core/pace"
+	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
 )
@@ -85,7 +87,9 @@
 	}
 	start := x.clock.Now()
 	var err error
-	defer func() { x.releaseSlot(errors.Is(err, errUpstreamFull), x.clock.Since(start)) }()
+	defer func() {
+		x.releaseSlot(placement.CallEnd{Rejected: errors.Is(err, errUpstreamFull), Took: x.clock.Since(start)})
+	}()
 	u, refusal := x.pickCall(tried)
 	if refusal != nil {
 		err = errNotSent
@@ -113,8 +117,13 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	x.w.WriteHeader(a.resp.StatusCode)
-	_, err := x.w.Write(a.body)
+	d := x.deliver(len(a.body))
+	err := d.write(a.body)
+	shed := d.end()
 	x.logEnd(a.resp.StatusCode, "bytes", len(a.body), "delivered", err == nil)
+	if shed {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // tryCall makes one attempt at an upstream and reads the complete answer.
@@ -136,6 +145,7 @@
 	sent := x.recordSent(u, false)
 	sentAt := x.clock.Now()
 	a, err := x.roundTrip(ctx, conn, u)
+	x.paceCall(u, a, err, x.clock.Since(sentAt))
 	if err != nil {
 		conn.Close()
 	} else if stop() {
@@ -232,7 +242,12 @@
 		return
 	}
 	failing := locked(&x.mu, func() bool {
-		return x.calls.RecordOutcome(u.ID, err != nil || a.resp.StatusCode >= http.StatusInternalServerError, x.clock.Now())
+		now := x.clock.Now()
+		ejected := x.calls.RecordOutcome(u.ID, err != nil || a.resp.StatusCode >= http.StatusInternalServerError, now)
+		if ejected {
+			x.beginWindow(u.ID, u.Started, pace.Ejected, now)
+		}
+		return ejected
 	})
 	if failing {
 		x.log.Write(event.UpstreamFailing, "upstream", u.ID, "request", x.req.ID)
--- a/router/direct/rollout_count.go
+++ b/router/direct/rollout_count.go
@@ -104,17 +104,17 @@
 		return
 	}
 	r.judged = true
-	s.recordAnswered(r.sent, r.upstream, rollout.Outcome{Duration: s.pace(r)}, true)
+	s.recordAnswered(r.sent, r.upstream, rollout.Outcome{Duration: s.rolloutPace(r)}, true)
 }
 
 // minPace is the least pace. Runs that are faster than predicted count as equal: a new upstream with little work may only meet the prediction
 // while the old ones, with much work, do better than it.
 const minPace = 0.5
 
-// pace returns the time that a run takes relative to what is expected, as a part of a second: the greater one of the time to the first
+// rolloutPace returns the time that a run takes relative to what is expected, as a part of a second: the greater one of the time to the first
 // event, relative to the prediction without the upstream's own slowness, and the time between events, relative to that of an engine in
 // usual use. The ratios make requests of different sizes comparable. They do not use measured means, which change with the versions.
-func (s *stream) pace(r *run) time.Duration {
+func (s *stream) rolloutPace(r *run) time.Duration {
 	ratio := minPace
 	if r.resumeFrom == nil {
 		first := r.firstEventAt
--- a/router/direct/settings.go
+++ b/router/direct/settings.go
@@ -42,9 +42,12 @@
 	Retries             Retries   `yaml:"retries"`
 	Upstreams           Upstreams `yaml:"upstreams"`
 	// Rollouts, if present, makes the router carry out the operator's orders of rollouts.
-	Rollouts *Rollouts `yaml:"rollouts"`
+	Rollouts  *Rollouts `yaml:"rollouts"`
+	Placement Placement `yaml:"placement"`
 	// MemoryMegabytes is the memory available to the process, in MiB. Zero sets no limit.
 	MemoryMegabytes int64 `yaml:"memory_megabytes"`
+	// MaxDescriptors is the number of file descriptors of the process. Zero sets no limit.
+	MaxDescriptors int `yaml:"max_descriptors"`
 	// LinkMegabits is the rate of the VM's link in megabits per second, CPUShare the share of a core that the process gets.
 	// Zero means that they are not limited.
 	LinkMegabits     float64 `yaml:"link_megabits"`
@@ -96,6 +99,12 @@
 	MaxEventBytes int `yaml:"max_event_bytes"`
 }
 
+// Placement holds the settings of the choice of upstreams.
+type Placement struct {
+	// Pace limits the requests in flight at upstreams that have just started or recovered. It is off by default.
+	Pace bool `yaml:"pace"`
+}
+
 const (
 	defaultAnswerBytes = 8 << 20
 	defaultEventBytes  = 128 << 10
@@ -139,6 +148,8 @@
 		return fault.New(fault.SettingsInvalid, "stop_seconds must be greater than zero")
 	case s.LinkMegabits < 0 || s.CPUShare < 0:
 		return fault.New(fault.SettingsInvalid, "link_megabits and cpu_share must be at least zero")
+	case s.MaxDescriptors < 0:
+		return fault.New(fault.SettingsInvalid, "max_descriptors must be at least zero")
 	case s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.WindowSeconds < minRetryWindowSeconds:
 		return fault.New(fault.SettingsInvalid, "retries.window_seconds must be at least %v, ratio and slack at least zero", minRetryWindowSeconds)
 	case !s.Rollouts.valid():
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -14,6 +14,7 @@
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/metric"
 	"bilberrylug.dev/core/mirror"
+	"bilberrylug.dev/core/pace"
 	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/quarantine"
 	"bilberrylug.dev/core/ratelimit"
@@ -53,6 +54,9 @@
 	pool    *upstream.Pool
 	limits  Upstreams
 	answers *answerMemory
+	// callerMemory accounts for what callers send, callerBound bounds their connections; zero is no bound.
+	callerMemory *callerMemory
+	callerBound  int
 
 	config atomic.Pointer[routing.Config]
 	// configured is closed when the first configuration becomes active.
@@ -68,7 +72,9 @@
 	calls      *placement.CallPicker
 	// limiters holds the concurrency limiters for calls, by service.
 	limiters map[ids.Service]*placement.Limiter
-	budget   *budget.Budget
+	// admissionDue holds the limiters whose waiting calls are looked at when a pause ends.
+	admissionDue map[*placement.Limiter]bool
+	budget       *budget.Budget
 	// running holds the running streams, by upstream.
 	running map[ids.VM]map[*stream]bool
 	// watcherRole decides whether this router watches the store.
@@ -100,6 +106,10 @@
 	quarantine *quarantine.Quarantine
 	// rateLimits holds the request rates that upstreams take.
 	rateLimits *ratelimit.Limiter
+	// pace holds the windows of upstreams that have just started or recovered; nil if the settings do not switch it on.
+	pace *pace.Tracker
+	// configuredAt is when the first configuration became active.
+	configuredAt time.Time
 	// tokenTime is the mean time per output token over all engines.
 	tokenTime placement.TokenTime
 	// startedAt is when the process started.
@@ -115,18 +125,24 @@
 	if cfg.Rollouts == nil {
 		o.Decode.Layout = o.Decode.Layout.WithoutRollouts()
 	}
+	metrics := metric.New()
+	var windows *pace.Tracker
+	if cfg.Placement.Pace {
+		windows = pace.New()
+	}
 	return &state{
-		clock: o.Clock, boot: o.BootClock, log: o.Log, metrics: metric.New(), decode: o.Decode,
+		clock: o.Clock, boot: o.BootClock, log: o.Log, metrics: metrics, decode: o.Decode,
+		callerMemory: newCallerMemory(cfg.MemoryMegabytes, o.Clock, o.Log, metrics), callerBound: cfg.callerBound(),
 		pool:   upstream.NewPool(o.Dial, o.Clock, limits.poolLimits()),
 		limits: limits, answers: newAnswerMemory(cfg.MemoryMegabytes),
 		fleet:      fleet.New(reregisterTime, cfg.minOutage()),
 		picker:     placement.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, LoadTracker: placement.NewLoadTracker()},
 		quarantine: quarantine.New(cfg.VM), rateLimits: ratelimit.New(cfg.VM),
-		limiters: map[ids.Service]*placement.Limiter{}, calls: placement.NewCallPicker(cfg.FailureDomain),
+		limiters: map[ids.Service]*placement.Limiter{}, admissionDue: map[*placement.Limiter]bool{}, calls: placement.NewCallPicker(cfg.FailureDomain),
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(), undeclared: map[string]store.Change{},
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
-		confirm: func(fleet.Upstream) {}, rollouts: newRollouts(cfg, o.Clock.Now(), o.BootClock.Now()),
+		confirm: func(fleet.Upstream) {}, pace: windows, rollouts: newRollouts(cfg, o.Clock.Now(), o.BootClock.Now()),
 	}
 }
 
@@ -197,6 +213,7 @@
 	}
 	st.logLimits(st.rateLimits.Expire(now), "")
 	st.updatePresence(now)
+	st.retainWindows()
 	st.pool.CloseExpired()
 }
 
