--- a/router/direct/rollout_count_test.go
+++ b/router/direct/rollout_count_test.go
@@ -23,7 +23,7 @@
 	newVersion := func(service ids.Service, respond respondFunc) *testRouter {
 		r := newTestRouter(0)
 		now := r.clock.Now()
-		r.rollouts = newRollouts(Settings{VM: "entry", Rollouts: &Rollouts{ExposeShare: 0.1, ExposeSlack: 50}}, now, r.boot.Now())
+		r.rollouts = newRollouts(Settings{VM: "entry", Rollouts: &Rollouts{ExposeShare: 0.1, ExposeSlack: 50}}, now, r.boot)
 		u, old := newRawUpstream(respond), newRawUpstream(func(w net.Conn, r *http.Request) { signed(w, r, 200, "old") })
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/router/direct/rollouts.go
+++ b/router/direct/rollouts.go
@@ -59,13 +59,13 @@
 }
 
 // newRollouts returns nil if the settings have no rollouts.
-func newRollouts(cfg Settings, started time.Time, heardAt boottime.Instant) *rollouts {
+func newRollouts(cfg Settings, started time.Time, boot boottime.Clock) *rollouts {
 	if cfg.Rollouts == nil {
 		return nil
 	}
 	return &rollouts{
 		settings: cfg.Rollouts.bounds(), router: cfg.VM, started: started.UnixNano(), services: map[ids.Service]*serviceRollout{},
-		heardAt: heardAt, peerRunning: map[ids.VM]peerRunning{},
+		heardAt: boot.Now(), peerRunning: map[ids.VM]peerRunning{},
 	}
 }
 
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -142,7 +142,7 @@
 		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(), undeclared: map[string]store.Change{},
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
-		confirm: func(fleet.Upstream) {}, pace: windows, rollouts: newRollouts(cfg, o.Clock.Now(), o.BootClock.Now()),
+		confirm: func(fleet.Upstream) {}, pace: windows, rollouts: newRollouts(cfg, o.Clock.Now(), o.BootClock),
 	}
 }
 
