core/rollout: a fault that hits both versions may last for some slots; a bad version may have any rate of bad answers

Each half second of a fault counted as a new one, so two of them rolled back a good version. Requests to old upstreams that are overdue are counted as early as those to new ones.

--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -10,7 +10,7 @@
 	// falseRollback is the greatest probability that a good version is rolled back in an order, over all tests.
 	falseRollback = 5e-4
 	// falseProof is the greatest probability that a version whose bad answers exceed the old one's by badExcess passes the canary.
-	falseProof = 0.05
+	falseProof = 0.02
 	// falseDoubt is the probability of error at which a version is rolled back if the time for its test is over.
 	falseDoubt = 0.01
 	// usualRate is the least rate of bad answers that a good version is expected to have. With 0.02 a version of which a fifth is bad
@@ -18,8 +18,11 @@
 	usualRate = 0.01
 	// badExcess is the rate of bad answers beyond the usual one for which the test is made.
 	badExcess = 0.18
-	// faultRate is the probability that a fault hits both versions in a slot.
-	faultRate = 0.02
+	// anyRate is the probability that a bad version has any rate of bad answers instead. Without it, a version that fails always looked more
+	// like a fault than like a bad version.
+	anyRate = 0.2
+	// faultBegins is the probability that a fault that hits both versions begins in a slot, and faultLasts the one that it goes on in the next.
+	faultBegins, faultLasts = 0.02, 0.7
 	// versionWeight and routeWeight are the answers that the usual rate counts for in that of the version, and this one in that of a route.
 	versionWeight, routeWeight = 20, 10
 	// uncontrolledLimit bounds the suspicion that comes from times at which the old versions gave less than controlShare of the answers, as in
@@ -68,7 +71,7 @@
 
 // Judge tests the new version. The test is sequential: a sum of log likelihood ratios that restarts at zero (CUSUM), so that a version that
 // turns bad late is detected as soon as one that is bad from the start. In each slot, a bad version is weighed against a good one that is
-// hit, with a small probability, by a fault that hits the old versions as much.
+// hit, with a small probability, by a fault that hits the old versions as much and may last for some slots.
 func Judge(e Evidence) Judgement {
 	var j Judgement
 	old := pool(e.Routes)
@@ -87,26 +90,25 @@
 	tested := 0
 	for _, r := range e.Routes {
 		rate := r.rate(versionRate)
+		rates := make([]float64, len(r.Slots))
 		answered := false
-		ratios := make([]float64, len(r.Slots))
 		for i, s := range r.Slots {
 			answered = answered || s.NewAnswers > 0
+			rates[i] = rate
 			if old[i].NewAnswers > 0 {
 				mean[i] += rate * s.NewAnswers / old[i].NewAnswers
 			}
-			ratios[i] = logRatio(s, rate, around(old, i), around(r.Slots, i))
 		}
 		if answered {
 			tested++
 		}
-		if s := cusum(ratios, controlled); s > j.Suspicion {
+		if s := cusum(logRatios(r.Slots, old, rates), controlled); s > j.Suspicion {
 			j.Suspicion, j.Route = s, r.Route
 		}
 	}
-	sum := make([]float64, len(old))
-	for i, s := range old {
-		sum[i] = logRatio(s, mean[i], around(old, i))
-		j.LogRatio += sum[i]
+	sum := logRatios(old, old, mean)
+	for _, x := range sum {
+		j.LogRatio += x
 	}
 	if s := cusum(sum, controlled); s >= j.Suspicion && s > 0 {
 		j.Suspicion, j.Route = s, ""
@@ -161,22 +163,44 @@
 	return old.rate(versionRate, routeWeight)
 }
 
-// logRatio returns the log likelihood ratio of bad against good for the new version's answers in a slot. good is the usual rate of bad
-// answers; a fault that hits both versions makes any rate equally probable for the answers of both, old and new.
-func logRatio(s Slot, good float64, olds ...tally) float64 {
-	if s.NewAnswers <= 0 {
-		return 0
-	}
-	good = min(max(usualRate, good), 0.9)
-	bad := good + badExcess*(1-good)
-	fault := math.Inf(-1)
-	for _, o := range olds {
-		fault = max(fault, logBeta(s.NewBad+o.bad+1, s.NewAnswers-s.NewBad+o.answers-o.bad+1)-logBinomial(o.answers, o.bad, good))
+// logRatios returns the log likelihood ratios of bad against good for the new version's answers in slots. rates are the usual rates of bad
+// answers. During a fault any rate is as probable for the answers of both versions, on the route or on all.
+func logRatios(slots, all []Slot, rates []float64) []float64 {
+	out := make([]float64, len(slots))
+	begins := faultBegins
+	for i, s := range slots {
+		good := min(max(usualRate, rates[i]), 0.9)
+		bad := good + badExcess*(1-good)
+		expected, inFault := s.expected(good, begins, around(slots, i))
+		if e, f := s.expected(good, begins, around(all, i)); e > expected {
+			expected, inFault = e, f
+		}
+		if s.NewAnswers <= 0 {
+			begins = inFault*faultLasts + (1-inFault)*faultBegins
+			continue
+		}
+		out[i] = logEither(
+			math.Log(1-anyRate)+logBinomial(s.NewAnswers, s.NewBad, bad),
+			math.Log(anyRate)+logBeta(s.NewBad+1, s.NewAnswers-s.NewBad+1),
+		) - expected
+		begins = inFault*faultLasts + (1-inFault)*faultBegins
 	}
-	usual := logBinomial(s.NewAnswers, s.NewBad, good) + math.Log(1-faultRate)
-	fault += math.Log(faultRate)
-	either := max(usual, fault) + math.Log1p(math.Exp(-math.Abs(usual-fault)))
-	return logBinomial(s.NewAnswers, s.NewBad, bad) - either
+	return out
+}
+
+// expected returns the log likelihood of the new version's answers if it is good, and the probability that a fault hits both, given the old
+// versions' answers. begins is that probability before the answers are looked at.
+func (s Slot) expected(good, begins float64, old tally) (likelihood, inFault float64) {
+	usual := math.Log(1-begins) + logBinomial(s.NewAnswers, s.NewBad, good)
+	fault := math.Log(begins) - logBinomial(old.answers, old.bad, good) +
+		logBeta(s.NewBad+old.bad+1, s.NewAnswers-s.NewBad+old.answers-old.bad+1)
+	likelihood = logEither(usual, fault)
+	return likelihood, math.Exp(fault - likelihood)
+}
+
+// logEither returns the logarithm of the sum of two probabilities.
+func logEither(a, b float64) float64 {
+	return max(a, b) + math.Log1p(math.Exp(-math.Abs(a-b)))
 }
 
 // logBinomial returns the log likelihood of a sequence of answers.
--- a/core/rollout/observe.go
+++ b/core/rollout/observe.go
@@ -51,7 +51,7 @@
 		c.Requests = 1
 	}
 	t.counts.addOwn(s.key(), c, t.Elapsed(now))
-	if s.class == ClassNew && !r.Untimed {
+	if s.class != ClassOther && !r.Untimed {
 		t.counts.pending[s] = true
 	}
 	return s
@@ -99,8 +99,8 @@
 	}
 }
 
-// countOverdue counts requests to the new version that have run for longer than a slow answer takes, so that a version is judged before its
-// answers arrive.
+// countOverdue counts requests that have run for longer than a slow answer takes, so that a version is judged before its answers arrive. Those
+// to the old versions are counted as early, so that a fault that slows both down is seen in both at the same time.
 func (t *Tracker) countOverdue(now time.Time) {
 	for s := range t.counts.pending {
 		limit, known := t.counts.slowLimit(s.request.Route)
--- a/core/rollout/step.go
+++ b/core/rollout/step.go
@@ -140,9 +140,11 @@
 			return Handover, r.Reason
 		}
 		switch doubt := j.Doubtful || !usable; {
-		case doubt && e.Elapsed >= p.lastAt:
+		case e.Elapsed < p.lastAt && (f.OldRunning > 0 || doubt || j.Suspicion >= controlAt):
+			return Handover, r.Reason
+		case doubt:
 			return RolledBack, "time is over: " + j.String()
-		case !doubt && (f.OldRunning == 0 || e.Elapsed >= p.lastAt):
+		default:
 			return Completed, j.String()
 		}
 	case Completed, RolledBack:
--- a/core/rollout/tracker.go
+++ b/core/rollout/tracker.go
@@ -90,7 +90,7 @@
 	t.order = &c
 	if key := o.key(); key != t.rollout {
 		t.remember()
-		t.rollout, t.orderAt, t.reason = key, seen, "known before"
+		t.rollout, t.orderAt, t.reason = key, seen, ""
 		t.verdict, t.suspicious = t.recall(key), false
 		t.counts.reset(o.Duration)
 	}
