--- a/core/rollout/observe.go
+++ b/core/rollout/observe.go
@@ -9,6 +9,10 @@
 // warmUp is the time since an upstream was first seen during which its slow answers are no evidence, since its caches are cold.
 const warmUp = 2 * time.Second
 
+// assessTime is the least time between two tests after bad answers. One takes 0.2 ms with 8 routes and 40 upstreams, and a router may have a
+// tenth of a core.
+const assessTime = 50 * time.Millisecond
+
 // Request is a request that is sent to an upstream.
 type Request struct {
 	Route    Route
@@ -51,7 +55,7 @@
 		c.Requests = 1
 	}
 	t.counts.addOwn(s.key(), c, t.Elapsed(now))
-	if s.class == ClassNew && !r.Untimed {
+	if s.class != ClassOther && !r.Untimed {
 		t.counts.pending[s] = true
 	}
 	return s
@@ -94,13 +98,13 @@
 		c.Bad = 1
 	}
 	t.counts.addOwn(s.key(), c, t.Elapsed(now))
-	if bad && s.class == ClassNew {
+	if bad && s.class == ClassNew && now.Sub(t.assessedAt) >= assessTime {
 		t.assess(now)
 	}
 }
 
-// countOverdue counts requests to the new version that have run for longer than a slow answer takes, so that a version is judged before its
-// answers arrive.
+// countOverdue counts requests that have run for longer than a slow answer takes, so that a version is judged before its answers arrive. Those
+// to the old versions are counted as early, so that a fault that slows both down is seen in both at the same time.
 func (t *Tracker) countOverdue(now time.Time) {
 	for s := range t.counts.pending {
 		limit, known := t.counts.slowLimit(s.request.Route)
