--- a/core/fleet/condition.go
+++ b/core/fleet/condition.go
@@ -30,8 +30,8 @@
 	Age time.Duration
 }
 
-// Registered returns all upstreams of a service, sorted by ID.
-func (d *Directory) Registered(service ids.Service) []Upstream {
+// All returns all upstreams of a service, sorted by ID.
+func (d *Directory) All(service ids.Service) []Upstream {
 	list := d.list(func(u *Upstream) bool { return u.Service == service })
 	out := make([]Upstream, 0, len(list))
 	for _, u := range list {
--- a/core/fleet/condition_test.go
+++ b/core/fleet/condition_test.go
@@ -18,7 +18,7 @@
 		}
 		now := start.Add(time.Second)
 		state := func(id string, at time.Time) fleet.Condition {
-			for _, u := range d.Registered(entry(id, 1).Service) {
+			for _, u := range d.All(entry(id, 1).Service) {
 				if u.ID == entry(id, 1).ID {
 					return d.Condition(u, at)
 				}
--- a/core/mirror/replica.go
+++ b/core/mirror/replica.go
@@ -30,6 +30,27 @@
 	Upstreams string
 	// Routers is the prefix of the routers' own entries.
 	Routers string
+	// RolloutOrders is the prefix of the operator's orders of rollouts, Rollouts that of their records. Empty ones are not listed.
+	RolloutOrders string
+	Rollouts      string
+}
+
+// Prefixes returns what is listed: the prefixes and the key of the configuration. The orders and records of rollouts come before the
+// upstreams, so that a router that starts knows which versions may get requests before it knows any upstream.
+func (l Layout) Prefixes() []string {
+	var out []string
+	for _, prefix := range []string{l.RolloutOrders, l.Rollouts} {
+		if prefix != "" {
+			out = append(out, prefix)
+		}
+	}
+	return append(out, l.Upstreams, l.Config, l.Routers)
+}
+
+// WithoutRollouts returns the layout without the keys of rollouts.
+func (l Layout) WithoutRollouts() Layout {
+	l.RolloutOrders, l.Rollouts = "", ""
+	return l
 }
 
 // maxTombstones bounds the removed keys that are kept for routers that lack changes.
--- a/router/direct/candidates.go
+++ b/router/direct/candidates.go
@@ -33,9 +33,12 @@
 
 // candidates returns usable upstreams of the request's service: all of them or, if they are many, a random part that includes
 // the preferred one. Those already tried are included only if there are no others. If none takes a request now, it returns the one that
-// does so first. The caller must hold x.state.mu.
+// does so first. During a rollout, upstreams of other versions than the preferred ones are used if there is no other. The caller must hold
+// x.state.mu.
 func (x *exchange) candidates(tried map[ids.VM]bool, preferred ids.VM, now time.Time) candidateList {
-	return listCandidates(drawUpstreams(x.fleet.Usable(x.service.Name), preferred), tried, weighing{
+	preferredVersions, fallback := x.tiers(now)
+	tiers := [][]*fleet.Upstream{drawUpstreams(preferredVersions, preferred), drawUpstreams(fallback, preferred)}
+	return listCandidates(tiers, tried, weighing{
 		delay:   func(u *fleet.Upstream) time.Duration { return x.rateLimits.Delay(u.ID, now) },
 		suspect: func(u *fleet.Upstream) bool { return x.suspects(*u, now) },
 	})
@@ -47,24 +50,30 @@
 	suspect func(u *fleet.Upstream) bool
 }
 
-func listCandidates(all []*fleet.Upstream, tried map[ids.VM]bool, w weighing) candidateList {
-	list := candidateList{candidates: make([]placement.Candidate, 0, min(len(all), maxCandidates))}
+// listCandidates returns the candidates of the first tier that has any.
+func listCandidates(tiers [][]*fleet.Upstream, tried map[ids.VM]bool, w weighing) candidateList {
+	list := candidateList{candidates: make([]placement.Candidate, 0, min(len(tiers[0]), maxCandidates))}
 	add := func(u *fleet.Upstream) {
 		list.candidates = append(list.candidates, placement.Candidate{ID: u.ID, Domain: u.Domain, Suspect: w.suspect(u)})
 		list.upstreams = append(list.upstreams, u)
 	}
 	var retried []*fleet.Upstream
 	var first *fleet.Upstream
-	for _, u := range all {
-		delay := w.delay(u)
-		switch {
-		case delay > 0 && (first == nil || delay < list.delay):
-			first, list.delay = u, delay
-		case delay > 0:
-		case tried[u.ID]:
-			retried = append(retried, u)
-		default:
-			add(u)
+	for _, all := range tiers {
+		if len(list.candidates) > 0 {
+			break
+		}
+		for _, u := range all {
+			delay := w.delay(u)
+			switch {
+			case delay > 0 && (first == nil || delay < list.delay):
+				first, list.delay = u, delay
+			case delay > 0:
+			case tried[u.ID]:
+				retried = append(retried, u)
+			default:
+				add(u)
+			}
 		}
 	}
 	if len(list.candidates) == 0 {
--- a/router/direct/explain.go
+++ b/router/direct/explain.go
@@ -139,7 +139,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	usable := e.fleet.Usable(e.service.Name)
-	e.list = listCandidates(usable, nil, weighing{
+	e.list = listCandidates([][]*fleet.Upstream{usable}, nil, weighing{
 		delay: func(u *fleet.Upstream) time.Duration { return e.rateLimits.Peek(u.ID, e.now).Delay },
 		suspect: func(u *fleet.Upstream) bool {
 			suspect, _ := e.suspicion(*u, e.now)
@@ -150,7 +150,7 @@
 	for _, u := range e.list.upstreams {
 		e.weighed[u.ID] = true
 	}
-	for i, u := range e.fleet.Registered(e.service.Name) {
+	for i, u := range e.fleet.All(e.service.Name) {
 		e.report.Upstreams = append(e.report.Upstreams, e.describe(u))
 		e.rows[u.ID] = i
 	}
