Rollouts: a doubtful version is rolled back sooner

But a bad version that is completed fails its callers, and a good one that is rolled back is ordered again. Change: the greatest probability of a false rollback is 5e-3 instead of 5e-4.

--- a/core/rollout/judge.go
+++ b/core/rollout/judge.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// falseRollback is the greatest probability that a good version is rolled back in an order, over all tests.
-	falseRollback = 5e-4
+	// falseRollback is the greatest probability that a good version is rolled back in an order, over all tests. A good version that is
+	// rolled back is rolled out again by another order; a bad one that is completed fails its callers, so that this is not made smaller.
+	falseRollback = 5e-3
 	// falseProof is the greatest probability that a version whose bad answers exceed the old one's by badExcess passes the canary.
 	falseProof = 0.02
 	// falseDoubt is the probability of error at which a version is rolled back if the time for its test is over.
