--- a/review/standin-2/case_spoiled.go
+++ b/review/standin-2/case_spoiled.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// spoiledID lets two of four runners spoil a byte in one of fifty streams, in the name of one event's id: ORDER.
+// spoiledID lets two of four runners spoil a byte in one of fifty streams, in the id of an event: ORDER.
 func spoiledID(rec *record, root string, trouble bool) (verdict, error) {
 	const (
 		streams    = 600
@@ -41,24 +41,26 @@
 		time.Sleep(every)
 	}
 	wg.Wait()
-	broken, joined, whole := 0, 0, 0
+	twice, missing, whole := 0, 0, 0
 	for _, r := range results {
 		if r.status != 200 || !r.complete {
 			continue
 		}
 		whole++
-		pieces := parsePieces(r.body)
-		if runsOf(pieces) > 1 {
-			joined++
-		}
-		if problem := checkPieces(pieces, s.runners[0].events); problem != "" {
-			broken++
-			rec.write("%s is complete but wrong: %s", r.id, problem)
-			rec.write("%s got: %q", r.id, r.body)
+		problem, isMissing := checkPieces(parsePieces(r.body), s.runners[0].events)
+		switch {
+		case problem == "":
+			continue
+		case isMissing:
+			missing++
+		default:
+			twice++
 		}
+		rec.write("%s is complete but wrong: %s", r.id, problem)
+		rec.write("%s got: %q", r.id, r.body)
 	}
 	if !trouble && whole < streams {
 		return verdict{true, fmt.Sprintf("only %d of %d streams ended as complete", whole, len(results))}, nil
 	}
-	return verdict{broken > 0, fmt.Sprintf("%d of %d streams that ended as complete are wrong; %d of all went on at another runner", broken, whole, joined)}, nil
+	return verdict{twice+missing > 0, fmt.Sprintf("of %d streams that ended as complete, %d lack pieces, and %d hold a piece twice", whole, missing, twice)}, nil
 }
--- a/review/standin-2/pieces.go
+++ b/review/standin-2/pieces.go
@@ -32,36 +32,26 @@
 	return out
 }
 
-// runsOf counts the runs that the pieces come from.
-func runsOf(pieces []piece) int {
-	runs := 0
-	last := ""
-	for _, p := range pieces {
-		if p.runner != last {
-			runs++
-			last = p.runner
+// checkPieces returns what is wrong with a complete stream, and whether pieces are missing. Each piece has to come once. The data tells which
+// one it is, so that a wrong byte in an id alone, as the runner has sent it, is right.
+func checkPieces(pieces []piece, events int) (problem string, missing bool) {
+	seen := map[int]string{}
+	for n := 1; n <= events; n++ {
+		for _, p := range pieces {
+			if p.number == n {
+				seen[n] = p.runner
+			}
+		}
+		if seen[n] == "" {
+			return fmt.Sprintf("piece %d is missing", n), true
 		}
 	}
-	return runs
-}
-
-// checkPieces returns what is wrong with a complete stream. Each piece has to come once, in order. One runner's own answer, as it has sent
-// it to its end, is right whatever it holds.
-func checkPieces(pieces []piece, events int) string {
-	if len(pieces) == events && runsOf(pieces) == 1 {
-		return ""
-	}
-	seen := map[int]string{}
+	clear(seen)
 	for i, p := range pieces {
 		if at, twice := seen[p.number]; twice {
-			return fmt.Sprintf("piece %d comes twice, from %s and from %s (block %d of %d)", p.number, at, p.runner, i+1, len(pieces))
+			return fmt.Sprintf("piece %d comes twice, from %s and from %s (block %d of %d)", p.number, at, p.runner, i+1, len(pieces)), false
 		}
 		seen[p.number] = p.runner
 	}
-	for n := 1; n <= events; n++ {
-		if seen[n] == "" {
-			return fmt.Sprintf("piece %d is missing", n)
-		}
-	}
-	return ""
+	return "", false
 }
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -43,7 +43,7 @@
 	pausedUntil time.Time
 	// limit is the value of Server-Limit, empty for none.
 	limit string
-	// spoilEvery is the number of answers of which one has a wrong byte, in the name of the id of event spoiledEvent; zero for none.
+	// spoilEvery is the number of answers of which one has a wrong byte in the id of an event; zero for none.
 	spoilEvery int
 	answers    int
 	arrivals   []arrival
@@ -240,7 +240,7 @@
 		}
 	}
 	u.mark(n, func(a *arrival) { a.ran = true })
-	spoils := u.spoils()
+	spoiled := u.spoils()
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Server-Signature", "s."+request)
 	first := 1
@@ -249,12 +249,12 @@
 		first++
 	}
 	for e := first; e <= u.events; e++ {
-		name := "id"
-		if spoils && e == spoiledEvent {
-			name = "iD"
-			u.rec.write("runner %s spoils the name of the id of event %d of %s", id, e, request)
+		line := fmt.Sprintf("id: %d", e)
+		if wrong, ok := spoiled[e]; ok {
+			u.rec.write("runner %s spoils event %d of %s: %q in place of %q", id, e, request, wrong, line)
+			line = wrong
 		}
-		if _, err := fmt.Fprintf(w, "%s: %d\ndata: %s %d\n\n", name, e, id, e); err != nil {
+		if _, err := fmt.Fprintf(w, "%s\ndata: %s %d\n\n", line, id, e); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
@@ -268,15 +268,19 @@
 	u.rec.write("runner %s has run %s", id, request)
 }
 
-// spoiledEvent is the number of the event that a runner spoils.
-const spoiledEvent = 6
-
-// spoils reports whether the runner spoils the answer that it begins now.
-func (u *runner) spoils() bool {
+// spoils returns the lines with a wrong byte in the answer that the runner begins now, by the numbers of their events. By turns the name of
+// an id in the middle of the stream and the number of the first id are wrong.
+func (u *runner) spoils() map[int]string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.answers++
-	return u.spoilEvery > 0 && u.answers%u.spoilEvery == u.spoilEvery/2
+	switch {
+	case u.spoilEvery == 0 || u.answers%u.spoilEvery != u.spoilEvery/2:
+		return nil
+	case u.answers/u.spoilEvery%2 == 0:
+		return map[int]string{6: "iD: 6"}
+	}
+	return map[int]string{1: "id: 9"}
 }
 
 func (u *runner) mark(n int, change func(a *arrival)) {
