--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-(cd review/standin-2 && GOWORK=off GOFLAGS=-mod=mod go build -o ../../target/review-2/standin .)
+(cd review/standin-2 && GOWORK=off GOFLAGS=-buildvcs=false go test -c -o ../../target/review-2/standin .)
--- a/review/standin-2/client.go
+++ b/review/standin-2/client_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"bufio"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main_test.go
@@ -1,5 +1,6 @@
-// Command standin plays the cases of the second review: it starts stand-ins of the platform's store, of runners and of clients, and the
-// routers of the system as separate processes, and judges what the clients and the runners have seen.
+// Package standin plays the cases of the second review: it starts stand-ins of the platform's store, of runners and of clients, and the
+// routers of the system as separate processes, and judges what the clients and the runners have seen. It is test code, so that it may name
+// the platform's protocol; build-2.sh makes a program of it.
 //
 // # Usage
 //
@@ -7,11 +8,12 @@
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the environment it leaves the
 // disruption out.
-package main
+package standin
 
 import (
 	"fmt"
 	"os"
+	"testing"
 	"time"
 )
 
@@ -29,12 +31,14 @@
 	"models-that-crash":        modelsThatCrash,
 	"spoiled-id":               spoiledID,
 	"entry-of-another-writer":  entryFromAnotherWriter,
+	"crash-after-crash":        crashAfterCrash,
 }
 
 // playLimit bounds a case.
 const playLimit = 115 * time.Second
 
-func main() { os.Exit(run()) }
+// TestMain plays the case that the command line names; there are no tests.
+func TestMain(*testing.M) { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"context"
@@ -41,12 +41,14 @@
 	stopBeat context.CancelFunc
 	// pausedUntil is the end of the pause for which the runner has turned requests away.
 	pausedUntil time.Time
-	// limit is the value of Server-Limit, empty for none.
-	limit string
 	// spoilEvery is the number of answers of which one has a wrong byte in the id of an event; zero for none.
 	spoilEvery int
 	answers    int
-	arrivals   []arrival
+	// unframed lets the runner answer with neither a length nor chunks, and send the header before it has read the prompt. dying is
+	// closed as the process crashes.
+	unframed bool
+	dying    chan struct{}
+	arrivals []arrival
 }
 
 // arrival is a request as it has reached a runner.
@@ -80,7 +82,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.address, u.id, u.born, u.seq, u.up, u.running = l.Addr().String(), "i-"+token()[:8], time.Now().UnixMilli(), 0, true, 0
-	u.conns, u.stopBeat = map[net.Conn]struct{}{}, cancel
+	u.conns, u.stopBeat, u.dying = map[net.Conn]struct{}{}, cancel, make(chan struct{})
 	conns := u.conns
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Minute, ConnState: func(c net.Conn, s http.ConnState) {
 		u.mu.Lock()
@@ -201,9 +203,6 @@
 		a.parts = append(a.parts, name)
 	}
 	u.mu.Lock()
-	if u.limit != "" {
-		w.Header().Set("Server-Limit", u.limit)
-	}
 	left := time.Until(u.pausedUntil)
 	a.turnedAway = left > 0 || u.running >= u.slots
 	if !a.turnedAway {
@@ -226,6 +225,10 @@
 		u.mu.Unlock()
 	}()
 	u.rec.write("runner %s runs %s", id, request)
+	if u.unframed {
+		u.generateUnframed(w, r, id, request)
+		return
+	}
 	select {
 	case <-r.Context().Done():
 		u.rec.write("runner %s drops %s: its connection is closed", id, request)
--- a/review/standin-2/site.go
+++ b/review/standin-2/site_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"fmt"
@@ -8,12 +8,11 @@
 
 // The bounds of the sheet of paanhat-lug that the cases use.
 const (
-	contact       = 3 * time.Second
-	grace         = 8 * time.Second
-	lost          = 200 * time.Millisecond
-	routeTimeout  = 25 * time.Second
-	readyTime     = 10 * time.Second
-	recordedDelay = 200 * time.Millisecond
+	contact      = 3 * time.Second
+	grace        = 8 * time.Second
+	lost         = 200 * time.Millisecond
+	routeTimeout = 25 * time.Second
+	readyTime    = 10 * time.Second
 )
 
 // site is a small deployment: a store, runners of one service, and routers.
