--- a/review/standin-2/router_test.go
+++ b/review/standin-2/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -38,14 +39,25 @@
 	placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
 )
 
-// freeAddress returns an address of the loopback interface with a free port.
+// firstPort and lastPort bound the ports of listeners. They lie below those that Linux gives to outgoing connections, one of which could take
+// a port between its choice and its use, or while a runner is down.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+	portTries = 200
+)
+
+// freeAddress returns an address of the loopback interface with a port that nothing listens on.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // newRouters returns the routers of a deployment, which know one another as seeds. None is running yet.
@@ -116,6 +128,10 @@
 func (r *router) awaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if r.ended() {
+			text, _ := os.ReadFile(r.log.Name())
+			return fmt.Errorf("%s has ended before it was ready; the end of its log: %s", r.name, text[max(0, len(text)-300):])
+		}
 		resp, err := client.Get("http://" + r.ready + "/v1/ready")
 		if err != nil {
 			continue
--- a/review/standin-2/runner_test.go
+++ b/review/standin-2/runner_test.go
@@ -72,7 +72,10 @@
 func (u *runner) start() error {
 	address := u.address
 	if address == "" {
-		address = "127.0.0.1:0"
+		var err error
+		if address, err = freeAddress(); err != nil {
+			return err
+		}
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/review/standin-2/store_test.go
+++ b/review/standin-2/store_test.go
@@ -52,7 +52,11 @@
 )
 
 func startStore() (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
