A stream without a length is complete only if none of its runs has lost an event

Callers saw a stream end as complete after 4 to 23 of 60 events.

Cause: an answer without a length or chunks ends with its connection, and the router judged that end by the last run alone.

A run that ends within an event, or skips one, now shows that the stream goes on until an event is added. A run that adds none ends the stream only if its upstream still answers a probe, and one that did add some is resumed if its upstream is gone and another run may follow. This holds for each way in which a run ends, since the evidence is taken where events are read.

--- a/core/sse/reader.go
+++ b/core/sse/reader.go
@@ -45,6 +45,8 @@
 	br       *bufio.Reader
 	raw      []byte
 	maxBytes int
+	// withinEvent is set if the stream ended or broke off within an event.
+	withinEvent bool
 }
 
 // NewReader returns a reader of the events of r. An event may have up to maxBytes bytes.
@@ -68,6 +70,7 @@
 		}
 		partial := errors.Is(err, bufio.ErrBufferFull)
 		if err != nil && !partial {
+			r.withinEvent = isEvent || beginsEvent(line, continued)
 			return r.end(e, err, blockEnded && len(line) == 0)
 		}
 		line = bytes.TrimRight(line, "\r\n")
@@ -85,6 +88,23 @@
 	}
 }
 
+// WithinEvent reports whether the stream ended or broke off after a part of an event, so that it lacks at least that event. It is known
+// once [Reader.Next] has returned an error. Comments and blocks with neither data nor an ID are not part of an event.
+func (r *Reader) WithinEvent() bool { return r.withinEvent }
+
+// beginsEvent reports whether an unfinished line, or the rest of one if continued is set, is the beginning of data or of an ID.
+func beginsEvent(line []byte, continued bool) bool {
+	if continued {
+		return false
+	}
+	for _, field := range []string{"data:", "id:"} {
+		if n := min(len(line), len(field)); n > 0 && string(line[:n]) == field[:n] {
+			return true
+		}
+	}
+	return false
+}
+
 // isText reports whether a line is neither empty nor a comment.
 func isText(line []byte) bool { return len(line) > 0 && line[0] != ':' }
 
--- a/core/sse/reader_test.go
+++ b/core/sse/reader_test.go
@@ -72,6 +72,21 @@
 			}
 		}
 	})
+	It("tells whether the stream broke off within an event", func() {
+		for text, within := range map[string]bool{
+			"": false, "i": true, "id": true, "id: 2": true, "id: 2\n": true, "da": true, "data: b\n": true, "event: a\nid: 2\nx": true,
+			"\n": false, ": wait": false, ": wait\n": false, ": wait\n\n": false, "event: a\n": false, "x": false, "idx": false,
+		} {
+			for _, end := range []error{io.EOF, errors.New("reset")} {
+				reader := sse.NewReader(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"+text), iotest.ErrReader(end)), 1<<20)
+				var err error
+				for err == nil {
+					_, err = reader.Next()
+				}
+				Expect(reader.WithinEvent()).To(Equal(within), "%q, %v", text, end)
+			}
+		}
+	})
 	It("rejects comments without an end", func() {
 		_, _, err := read(strings.NewReader(strings.Repeat(": a\n\n", 1<<20)))
 		Expect(err).To(MatchError(sse.ErrTooLong))
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -90,20 +90,26 @@
 // forwardEvents forwards the events of a run, in order and each at most once.
 func (s *stream) forwardEvents(resp *http.Response, r *run) error {
 	reader := sse.NewReader(resp.Body, s.limits.MaxEventBytes)
-	for first := true; ; first = false {
-		e, err := reader.Next()
-		if first && (errors.Is(err, io.EOF) || e.Trailing) && s.lacksEvents(resp) {
-			return errTruncated
+	deliveredBefore := s.delivered
+	endChecked := false
+	for {
+		e, err := s.nextEvent(reader)
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
+			return err
+		}
+		if (ended || e.Trailing) && !endChecked {
+			endChecked = true
+			if err := s.checkEnd(resp, r, s.delivered > deliveredBefore); err != nil {
+				return err
+			}
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			if !upstream.CloseDelimited(resp) {
 				s.recordSound()
 			}
 			return s.complete(resp)
 		}
-		if err != nil {
-			return cause(s.ctx, err)
-		}
 		if err := s.observe(r, e); err != nil {
 			return err
 		}
@@ -115,6 +121,36 @@
 	}
 }
 
+// nextEvent reads the next event of a run. The error is io.EOF at the end of the run's answer.
+func (s *stream) nextEvent(reader *sse.Reader) (sse.Event, error) {
+	e, err := reader.Next()
+	if err == nil || errors.Is(err, io.EOF) {
+		return e, err
+	}
+	s.incomplete = s.incomplete || reader.WithinEvent()
+	return e, cause(s.ctx, err)
+}
+
+// checkEnd returns an error if the end of a run's answer is not the end of the stream. Progressed is set if the run has added events to
+// those that the caller had.
+func (s *stream) checkEnd(resp *http.Response, r *run, progressed bool) error {
+	switch {
+	case s.incomplete:
+		return errTruncated
+	case !upstream.CloseDelimited(resp):
+		return nil
+	case !progressed && !s.resumes:
+		// A body that ends with its connection does not show its end.
+		return errTruncated
+	case s.prober.alive(r.upstream):
+		return nil
+	case !progressed || s.mayReplaceRun(r):
+		// The connections of a crashed process are closed as those of one that has sent everything.
+		return errTruncated
+	}
+	return nil
+}
+
 // observe records an event of a run. It returns an error if the run does not go on in order.
 func (s *stream) observe(r *run, e sse.Event) error {
 	if r.joins && (e.Foreign || !e.HasID && !e.Trailing && s.resumes) {
@@ -137,12 +173,6 @@
 	return nil
 }
 
-// lacksEvents reports whether a run that has sent no event was broken off: a body that ends with its connection does not show
-// its end. A caller that has events may have them all.
-func (s *stream) lacksEvents(resp *http.Response) bool {
-	return upstream.CloseDelimited(resp) && !s.resumes
-}
-
 var errCallerLost = errors.New("the connection to the caller is lost")
 
 // forwardEvent forwards one event unless the caller already has it.
@@ -151,6 +181,7 @@
 		return nil
 	}
 	if e.HasID && s.delivered > 0 && e.ID != s.lastEventID+1 {
+		s.incomplete = true
 		return errors.New("events are missing from the stream")
 	}
 	s.sendHeader(resp)
@@ -165,6 +196,7 @@
 	}
 	s.lastEventAt = now
 	s.resumePause = 0
+	s.incomplete = s.incomplete && e.Trailing
 	s.delivered++
 	if e.HasID {
 		s.lastEventID = e.ID
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -26,6 +26,8 @@
 	lastEventID uint64
 	// resumes is set if the caller has already received events up to lastEventID.
 	resumes bool
+	// incomplete is set while a run is known to have lost an event that follows the last forwarded one.
+	incomplete bool
 	// delivered counts the forwarded events.
 	delivered int
 	// resumeCopy is the copy of the KV cache from which the next run resumes, or nil.
--- a/router/direct/testrouter_test.go
+++ b/router/direct/testrouter_test.go
@@ -60,7 +60,8 @@
 
 // rawUpstream is an upstream that sends raw bytes. It counts the requests by ID.
 type rawUpstream struct {
-	address string
+	address  string
+	listener net.Listener
 
 	mu       sync.Mutex
 	received map[string]int
@@ -83,8 +84,8 @@
 func startRawUpstream(serve func(u *rawUpstream, conn net.Conn)) *rawUpstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(l.Close)
-	u := &rawUpstream{address: l.Addr().String(), received: map[string]int{}}
+	DeferCleanup(func() { _ = l.Close() })
+	u := &rawUpstream{address: l.Addr().String(), listener: l, received: map[string]int{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -128,7 +129,7 @@
 }
 
 // newTestRouter starts a router whose service "desk" is reached by /look/ (idempotent, three attempts) and /slip/, and whose
-// service "pool" by /digest/ (a resumable stream, two attempts).
+// service "pool" by /digest/ (a resumable stream, two attempts) and /essay/ (the same, three attempts).
 func newTestRouter(memoryMegabytes int64) *testRouter {
 	return newTestRouterOn(memoryMegabytes, func(l net.Listener) net.Listener { return l })
 }
@@ -150,6 +151,10 @@
 			Name: "digest", Host: "h", Prefix: "/digest/", Kind: routing.Streaming, Timeout: 30 * time.Second, MaxAttempts: 2, Resumable: true,
 			Targets: targets("pool"), TargetLatency: time.Second,
 		},
+		{
+			Name: "essay", Host: "h", Prefix: "/essay/", Kind: routing.Streaming, Timeout: 30 * time.Second, MaxAttempts: 3, Resumable: true,
+			Targets: targets("pool"), TargetLatency: time.Second,
+		},
 	}, []routing.Service{{Name: "desk", HealthPath: "/health"}, {Name: "flood"}, {Name: "pool", HealthPath: "/health", Engine: &routing.Engine{Slots: 4, MemoryTokens: 1000, EventTokens: 1}}}, nil, routing.Limits{}))
 	g := group.New(context.Background())
 	tracker := &shutdownTracker{clock: st.clock}
