A wrong byte in the lines of an event loses no piece of a stream and doubles none

Cause: IDs were compared with earlier ones only. The first ID was compared with nothing, and an event without a readable ID was passed on although nothing told its place; the next event showed the run to be faulty, and the next run went on behind the place that the faulty one had named. The same holds for any wrong byte that hides an ID, hides data or joins two events.

sse.Sequence now decides what is passed on. Events with the usual lines and the next ID are passed on at once.

--- a/core/sse/reader.go
+++ b/core/sse/reader.go
@@ -1,12 +1,17 @@
-// Package sse reads a stream of server-sent events, one complete event at a time.
+// Package sse reads a stream of server-sent events, one complete event at a time, and decides which events of a stream that several
+// runs deliver may be passed on.
 //
 // # Usage
 //
+//	order := sse.NewSequence(conventions, lastID, resumes)
+//	order.Begin("engine-1", final)      // for each run
 //	r := sse.NewReader(resp.Body, 1<<20)
 //	for {
 //		e, err := r.Next()
-//		if err == io.EOF { /* the stream is complete */ }
-//		w.Write(e.Raw)
+//		if err == io.EOF { rest, err := order.End(); ... }
+//		if err != nil { order.Interrupt(r.WithinEvent()); ... }
+//		ready, err := order.Add(e)
+//		for _, e := range ready { w.Write(e.Raw) }
 //	}
 package sse
 
@@ -15,7 +20,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"strconv"
 )
 
 // Event is a server-sent event.
@@ -28,8 +32,8 @@
 	// ID is the event's numeric ID, if HasID is set.
 	ID    uint64
 	HasID bool
-	// Foreign is set if Raw holds text that is neither an event nor a comment.
-	Foreign bool
+	// Form is what the lines of the event look like.
+	Form Form
 }
 
 // ErrTruncated is returned when the stream ends in the middle of an event.
@@ -40,11 +44,16 @@
 
 const readerSize = 4 << 10
 
+// byteOrderMark may precede the first line of a stream.
+const byteOrderMark = "\ufeff"
+
 // Reader splits a stream into events.
 type Reader struct {
 	br       *bufio.Reader
 	raw      []byte
 	maxBytes int
+	// started is set once the first line has been read.
+	started bool
 	// withinEvent is set if the stream ended or broke off within an event.
 	withinEvent bool
 }
@@ -59,9 +68,9 @@
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	e := Event{}
-	// continued is set while the rest of a line is read that is longer than the buffer. isEvent is set once there is data or an
-	// ID, blockEnded after a blank line.
-	var continued, isEvent, blockEnded, hasText bool
+	b := block{}
+	// continued is set while the rest of a line is read that is longer than the buffer.
+	continued := false
 	for {
 		line, err := r.br.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
@@ -70,24 +79,35 @@
 		}
 		partial := errors.Is(err, bufio.ErrBufferFull)
 		if err != nil && !partial {
-			r.withinEvent = isEvent || beginsEvent(line, continued)
-			return r.end(e, err, blockEnded && len(line) == 0)
+			r.withinEvent = b.isEvent() || beginsEvent(line, continued)
+			return r.end(e, err, b.ended && len(line) == 0)
 		}
-		line = bytes.TrimRight(line, "\r\n")
-		blockEnded = !continued && !partial && len(line) == 0
-		if blockEnded && isEvent {
+		line = r.trim(line)
+		switch {
+		case continued:
+		case partial || len(line) > 0:
+			b.readLine(line)
+		case b.isEvent():
+			b.complete(&e)
 			e.Raw = r.raw
 			return e, nil
-		}
-		e.Foreign = e.Foreign || blockEnded && hasText
-		hasText = !blockEnded && (hasText || !continued && isText(line))
-		if !continued {
-			isEvent = e.readField(line) || isEvent
+		default:
+			b.complete(&e)
+			b = block{ended: true}
 		}
 		continued = partial
 	}
 }
 
+// trim removes what ends a line, and the byte order mark of the first one.
+func (r *Reader) trim(line []byte) []byte {
+	if !r.started {
+		r.started = true
+		line = bytes.TrimPrefix(line, []byte(byteOrderMark))
+	}
+	return bytes.TrimRight(line, "\r\n")
+}
+
 // WithinEvent reports whether the stream ended or broke off after a part of an event, so that it lacks at least that event. It is known
 // once [Reader.Next] has returned an error. Comments and blocks with neither data nor an ID are not part of an event.
 func (r *Reader) WithinEvent() bool { return r.withinEvent }
@@ -105,23 +125,6 @@
 	return false
 }
 
-// isText reports whether a line is neither empty nor a comment.
-func isText(line []byte) bool { return len(line) > 0 && line[0] != ':' }
-
-// readField reads a line, and reports whether it is data or an ID.
-func (e *Event) readField(line []byte) bool {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	switch string(name) {
-	case "data":
-		return true
-	case "id":
-		n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-		e.ID, e.HasID = n, err == nil
-		return e.HasID
-	}
-	return false
-}
-
 // end returns what is left at the end of the stream, which may lie between two blocks.
 func (r *Reader) end(e Event, err error, between bool) (Event, error) {
 	switch {
--- a/router/direct/copier_test.go
+++ b/router/direct/copier_test.go
@@ -19,6 +19,7 @@
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/relay"
 	"bilberrylug.dev/core/routing"
+	"bilberrylug.dev/core/sse"
 	"bilberrylug.dev/router/upstream"
 )
 
@@ -80,7 +81,7 @@
 		ctx:     GinkgoTB().Context(), req: relay.Request{ID: "request"}, route: routing.Route{Resumable: true},
 		service: routing.Service{Name: "pool", Engine: &routing.Engine{Slots: 4, MemoryTokens: 1000, EventTokens: 1, Backups: true}},
 	}
-	c.stream = &stream{exchange: x, model: x.engineModel(), placementReq: x.placementRequest(), failedDomains: map[ids.FailureDomain]bool{}}
+	c.stream = &stream{exchange: x, order: sse.NewSequence(&sse.Conventions{}, 0, false), model: x.engineModel(), placementReq: x.placementRequest(), failedDomains: map[ids.FailureDomain]bool{}}
 	hosts := map[ids.VM]string{"source": source.Listener.Addr().String(), "first": "first", "x": "x", "y": "y"}
 	for id, address := range hosts {
 		st.fleet.Put(fleet.Entry{ID: id, Service: "pool", Address: address, Domain: ids.FailureDomain(id), Slots: 4}, 0, time.Now())
--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -23,10 +23,8 @@
 	mayHaveRunBefore := s.mayHaveRun
 	s.mayHaveRun = true
 	r.sentAt = s.boot.Now()
-	a := relay.Attempt{
-		Upstream: r.upstream.ID, Workspace: s.workspace, Priority: s.priority, TimeLeft: s.remaining(),
-		LastEventID: s.lastEventID, Resumes: s.resumes,
-	}
+	a := relay.Attempt{Upstream: r.upstream.ID, Workspace: s.workspace, Priority: s.priority, TimeLeft: s.remaining()}
+	a.LastEventID, a.Resumes = s.order.LastID()
 	if r.resumeFrom != nil {
 		a.ContinueFrom = r.resumeFrom.ref
 	}
@@ -90,35 +88,52 @@
 // forwardEvents forwards the events of a run, in order and each at most once.
 func (s *stream) forwardEvents(resp *http.Response, r *run) error {
 	reader := sse.NewReader(resp.Body, s.limits.MaxEventBytes)
-	deliveredBefore := s.delivered
-	endChecked := false
+	s.order.Begin(string(r.upstream.ID), !s.mayResume())
 	for {
 		e, err := s.nextEvent(reader)
-		ended := errors.Is(err, io.EOF)
-		if err != nil && !ended {
+		if errors.Is(err, io.EOF) {
+			return s.endRun(resp, r)
+		}
+		if err != nil {
 			return err
 		}
-		if (ended || e.Trailing) && !endChecked {
-			endChecked = true
-			if err := s.checkEnd(resp, r, s.delivered > deliveredBefore); err != nil {
-				return err
-			}
+		ready, err := s.order.Add(e)
+		if err != nil {
+			s.order.Interrupt(false)
+			return err
 		}
-		if ended {
-			if !upstream.CloseDelimited(resp) {
-				s.recordSound()
+		s.observe(r)
+		for _, e := range ready {
+			if err := s.forwardEvent(resp, e); err != nil {
+				return err
 			}
-			return s.complete(resp)
-		}
-		if err := s.observe(r, e); err != nil {
-			return err
 		}
+		r.stall.resumeReading(s.clock.Now())
+		s.checkPace(r)
+	}
+}
+
+// mayResume reports whether another run may follow the current one.
+func (s *stream) mayResume() bool { return s.route.Retryable() && s.runs() < s.route.MaxAttempts }
+
+// endRun ends a run at the end of its answer.
+func (s *stream) endRun(resp *http.Response, r *run) error {
+	if err := s.checkEnd(resp, r); err != nil {
+		return err
+	}
+	rest, err := s.order.End()
+	if err != nil {
+		return err
+	}
+	for _, e := range rest {
 		if err := s.forwardEvent(resp, e); err != nil {
 			return err
 		}
-		r.stall.resumeReading(s.clock.Now())
-		s.checkPace(r)
 	}
+	if !upstream.CloseDelimited(resp) {
+		s.recordSound()
+	}
+	return s.complete(resp)
 }
 
 // nextEvent reads the next event of a run. The error is io.EOF at the end of the run's answer.
@@ -127,38 +142,31 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return e, err
 	}
-	s.incomplete = s.incomplete || reader.WithinEvent()
+	s.order.Interrupt(reader.WithinEvent())
 	return e, cause(s.ctx, err)
 }
 
-// checkEnd returns an error if the end of a run's answer is not the end of the stream. Progressed is set if the run has added events to
-// those that the caller had.
-func (s *stream) checkEnd(resp *http.Response, r *run, progressed bool) error {
+// checkEnd returns an error if the end of an answer without a length does not show that the upstream has sent all that it had.
+func (s *stream) checkEnd(resp *http.Response, r *run) error {
+	progressed := s.order.Progressed()
+	_, numbered := s.order.LastID()
 	switch {
-	case s.incomplete:
-		return errTruncated
 	case !upstream.CloseDelimited(resp):
 		return nil
-	case !progressed && !s.resumes:
-		// A body that ends with its connection does not show its end.
+	case !progressed && !numbered:
 		return errTruncated
 	case s.prober.alive(r.upstream):
 		return nil
 	case !progressed || s.mayReplaceRun(r):
 		// The connections of a crashed process are closed as those of one that has sent everything.
+		s.order.Interrupt(false)
 		return errTruncated
 	}
 	return nil
 }
 
-// observe records an event of a run. It returns an error if the run does not go on in order.
-func (s *stream) observe(r *run, e sse.Event) error {
-	if r.joins && (e.Foreign || !e.HasID && !e.Trailing && s.resumes) {
-		return errForeignText
-	}
-	if err := r.observeID(e); err != nil {
-		return err
-	}
+// observe records an event of a run.
+func (s *stream) observe(r *run) {
 	if r.stall.events == 0 {
 		r.firstEventAt = s.clock.Now()
 		s.recordFirstEvent(r)
@@ -170,20 +178,12 @@
 	if r.stall.events == quarantine.SoundEvents {
 		s.recordSound()
 	}
-	return nil
 }
 
 var errCallerLost = errors.New("the connection to the caller is lost")
 
-// forwardEvent forwards one event unless the caller already has it.
+// forwardEvent forwards one event.
 func (s *stream) forwardEvent(resp *http.Response, e sse.Event) error {
-	if e.HasID && s.resumes && e.ID <= s.lastEventID {
-		return nil
-	}
-	if e.HasID && s.delivered > 0 && e.ID != s.lastEventID+1 {
-		s.incomplete = true
-		return errors.New("events are missing from the stream")
-	}
 	s.sendHeader(resp)
 	if err := s.write(e.Raw); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLost, err)
@@ -196,12 +196,7 @@
 	}
 	s.lastEventAt = now
 	s.resumePause = 0
-	s.incomplete = s.incomplete && e.Trailing
 	s.delivered++
-	if e.HasID {
-		s.lastEventID = e.ID
-		s.resumes = true
-	}
 	return nil
 }
 
--- a/router/direct/own_trouble_test.go
+++ b/router/direct/own_trouble_test.go
@@ -14,6 +14,7 @@
 	"bilberrylug.dev/core/budget"
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/relay"
+	"bilberrylug.dev/core/sse"
 	"bilberrylug.dev/router/upstream"
 )
 
@@ -246,6 +247,7 @@
 		now := r.clock.Now()
 		u, _ := r.fleet.Get(ids.VM(host.address))
 		s := &stream{
+			order: sse.NewSequence(&sse.Conventions{}, 0, false),
 			exchange: &exchange{
 				handler: r.handler, r: req, ctx: ctx, route: route, service: service, arrivedAt: now, deadline: now.Add(time.Second),
 				headerSent: true, mayHaveRun: true, attempts: 1,
--- a/router/direct/resume.go
+++ b/router/direct/resume.go
@@ -38,7 +38,7 @@
 // waits for as long as its caller does while upstreams are missing or refuse it, or the retry budget is used up. It returns a fault
 // if the time or the allowed runs are used up.
 func (s *stream) awaitResume(err error) error {
-	if !s.route.Retryable() || s.runs() >= s.route.MaxAttempts {
+	if !s.mayResume() || !s.order.Resumable() {
 		return fault.Wrap(fault.ResumeExhausted, err, "after %d attempts", s.attempts)
 	}
 	wait := errors.Is(err, errNoUpstream) || errors.As(err, new(*limitedError)) || s.refusals >= maxRefusals
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -45,11 +45,6 @@
 	delay  time.Duration
 	charge ratelimit.Charge
 	stall  stallDetector
-	// joins is set if the run goes on with an answer that another run has begun.
-	joins bool
-	// lastID is the ID of the last event that the upstream sent, if hasID is set.
-	lastID uint64
-	hasID  bool
 	// sent is the run as it is counted for a rollout, nil if the settings have none. judged is set once its answer was counted.
 	sent   *rollout.Sent
 	judged bool
@@ -60,24 +55,6 @@
 	paceCheckedEvents int
 }
 
-// observeID returns an error if an event's ID does not follow those of the run's earlier events.
-func (r *run) observeID(e sse.Event) error {
-	if !e.HasID {
-		return nil
-	}
-	if r.hasID && e.ID <= r.lastID {
-		return errRepeats
-	}
-	r.lastID, r.hasID = e.ID, true
-	return nil
-}
-
-// errRepeats ends a run whose upstream sends an event again, which is no progress.
-var errRepeats = errors.New("the upstream repeats an event")
-
-// errForeignText ends a run that goes on with a stream of events but sends something else.
-var errForeignText = errors.New("the upstream sends text that is no event")
-
 var errNoUpstream = errors.New("no upstream is available")
 
 // runOnce places the generation on an upstream and runs it there. A nil error means that the caller has the final answer.
@@ -96,7 +73,7 @@
 	}
 	conn, err := s.connect(s.ctx, r.upstream)
 	if err != nil {
-		s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID, "sent", false)
+		s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID(), "sent", false)
 		s.refusals++
 		s.tried[r.upstream.ID] = true
 		s.avoidDomain(r.upstream.Domain)
@@ -119,7 +96,7 @@
 	r.stall.resumeReading(s.clock.Now())
 	checkedAgo, suspects := s.quarantineInputs()
 	s.logAttempt(r.upstream.ID, "domain", r.upstream.Domain, "predicted", r.predicted.String(),
-		"continues_copy", r.resumeFrom != nil, "copy_at", r.backupID(), "last_event", s.lastEventID, "reused", conn.Reused(),
+		"continues_copy", r.resumeFrom != nil, "copy_at", r.backupID(), "last_event", s.lastEventID(), "reused", conn.Reused(),
 		"prompt_checked_ago", checkedAgo.String(), "prompt_crashes", suspects)
 	c := newCopier(s, r)
 	s.setRun(conn, c)
@@ -128,7 +105,7 @@
 	s.recordRunEnd(r, err, failedBefore)
 	s.setRun(nil, nil)
 	c.stop()
-	s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID)
+	s.logAttemptEnd(r.upstream.ID, err, "events", s.delivered, "last_event", s.lastEventID())
 	if err == nil {
 		conn.Release()
 		c.end(false)
@@ -165,7 +142,7 @@
 		s.avoidDomain(r.upstream.Domain)
 	case errors.Is(err, errUnreachable):
 		s.abandon(r, err)
-	case errors.Is(err, sse.ErrTooLong), errors.Is(err, errRepeats), fault.CodeOf(err) == fault.ReplyTooLarge:
+	case errors.Is(err, sse.ErrTooLong), errors.Is(err, sse.ErrFaulty), fault.CodeOf(err) == fault.ReplyTooLarge:
 		s.tried[r.upstream.ID] = true
 		s.recordFailure(r)
 	case s.failedAlive[r.upstream.ID]:
--- a/router/direct/run_place.go
+++ b/router/direct/run_place.go
@@ -16,7 +16,7 @@
 	placementReq := s.placementReq
 	placementReq.CachedAt = s.promptEngine(s.req.Prompt.Name)
 	list := s.runCandidates(s.tried, placementReq.CachedAt, now)
-	r := &run{placedAt: now, joins: s.delivered > 0}
+	r := &run{placedAt: now}
 	if u, ok := s.resumeHost(list, now); ok {
 		r.upstream = u
 		r.resumeFrom, s.resumeCopy = s.resumeCopy, nil
--- a/router/direct/stall.go
+++ b/router/direct/stall.go
@@ -155,7 +155,7 @@
 // mayReplaceRun reports whether another run may take over from the current one, and charges that run to the retry budget. A run that
 // cannot be replaced is not ended on suspicion: its upstream may still complete the answer.
 func (s *stream) mayReplaceRun(r *run) bool {
-	if !s.route.Retryable() || s.runs() >= s.route.MaxAttempts || !s.headerSent && s.refusals >= maxRefusals {
+	if !s.mayResume() || !s.order.Resumable() || !s.headerSent && s.refusals >= maxRefusals {
 		return false
 	}
 	return s.replacementAnswers(r) && s.chargeRetry()
--- a/router/direct/state.go
+++ b/router/direct/state.go
@@ -21,6 +21,7 @@
 	"bilberrylug.dev/core/rollout"
 	"bilberrylug.dev/core/routing"
 	"bilberrylug.dev/core/shutdown"
+	"bilberrylug.dev/core/sse"
 	"bilberrylug.dev/core/store"
 	"bilberrylug.dev/router/upstream"
 )
@@ -113,6 +114,8 @@
 	pace *pace.Tracker
 	// configuredAt is when the first configuration became active.
 	configuredAt time.Time
+	// conventions holds the conventions of the streams of services.
+	conventions map[ids.Service]*sse.Conventions
 	// tokenTime is the mean time per output token over all engines.
 	tokenTime placement.TokenTime
 	// startedAt is when the process started.
@@ -142,13 +145,23 @@
 		picker:     placement.Picker{Router: cfg.VM, Domain: cfg.FailureDomain, Routers: minRouters, LoadTracker: placement.NewLoadTracker()},
 		quarantine: quarantine.New(cfg.VM), rateLimits: ratelimit.New(cfg.VM),
 		limiters: map[ids.Service]*placement.Limiter{}, admissionDue: map[*placement.Limiter]bool{}, calls: placement.NewCallPicker(cfg.FailureDomain),
-		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{},
+		budget: budget.New(cfg.budget(), o.Clock.Now()), running: map[ids.VM]map[*stream]bool{}, conventions: map[ids.Service]*sse.Conventions{},
 		promptEngines: placement.NewPrefixIndex(), watcherRole: mirror.NewWatcherRole(cfg.VM, cfg.narrow()), addressReuse: cfg.addressReuse(), undeclared: map[string]store.Change{},
 		configured: make(chan struct{}), activation: make(chan struct{}), behind: func() time.Duration { return 0 }, peers: shutdown.NewFleet(), startedAt: o.Clock.Now(),
 		confirm: func(fleet.Upstream) {}, saveQuarantineSoon: func() {}, pace: windows, rollouts: newRollouts(cfg, o.Clock.Now(), o.BootClock),
 	}
 }
 
+// streamConventions returns the conventions of a service's streams.
+func (st *state) streamConventions(service ids.Service) *sse.Conventions {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.conventions[service] == nil {
+		st.conventions[service] = &sse.Conventions{}
+	}
+	return st.conventions[service]
+}
+
 // minRouters is the number of routers that is assumed while fewer are known.
 const minRouters = 4
 
--- a/router/direct/stream.go
+++ b/router/direct/stream.go
@@ -11,6 +11,7 @@
 	"bilberrylug.dev/core/ids"
 	"bilberrylug.dev/core/placement"
 	"bilberrylug.dev/core/quarantine"
+	"bilberrylug.dev/core/sse"
 )
 
 // stream is the generation for one request, over all its runs at upstreams.
@@ -22,12 +23,8 @@
 	// checkedAt is when the parts were last checked.
 	checkedAt    time.Time
 	placementReq placement.Request
-	// lastEventID is the ID of the last event that was forwarded or that the caller already had.
-	lastEventID uint64
-	// resumes is set if the caller has already received events up to lastEventID.
-	resumes bool
-	// incomplete is set while a run is known to have lost an event that follows the last forwarded one.
-	incomplete bool
+	// order decides which events are forwarded, and from which one on another run resumes.
+	order *sse.Sequence
 	// delivered counts the forwarded events.
 	delivered int
 	// resumeCopy is the copy of the KV cache from which the next run resumes, or nil.
@@ -61,7 +58,8 @@
 // event.
 func (x *exchange) stream() {
 	s := &stream{
-		exchange: x, model: x.engineModel(), lastEventID: x.req.LastEventID, resumes: x.req.Resumes, tried: map[ids.VM]bool{},
+		exchange: x, model: x.engineModel(), tried: map[ids.VM]bool{},
+		order:         sse.NewSequence(x.streamConventions(x.service.Name), x.req.LastEventID, x.req.Resumes),
 		failedDomains: map[ids.FailureDomain]bool{}, failedAlive: map[ids.VM]bool{},
 		placementReq: x.placementRequest(), parts: quarantine.Parts(x.req.Prompt.Model, x.req.Prompt.Parts),
 	}
@@ -88,6 +86,12 @@
 	}
 }
 
+// lastEventID returns the ID of the last event that the caller has, zero if there is none.
+func (s *stream) lastEventID() uint64 {
+	id, _ := s.order.LastID()
+	return id
+}
+
 // callerLost reports whether the caller has disconnected, or a run has ended with the error that says so.
 func (s *stream) callerLost(err error) bool {
 	return s.callerGone() || errors.Is(err, errCallerLost)
