An answer without events does not prove its prompt sound

The log of a router has a run of the prompt with EV4304 'answered' and no event, at the moment at which its engine crashed, and from then on 'sound_age' in EV4316.

Cause: the end of an answer with a length or chunks was recorded as a sound run whatever it held. An engine that ends an empty answer as it crashes so cleared the part of its prompt, which then needs more evidence. An answer now has to hold an event.

Test: router/direct 'does not prove its prompt sound', failed before.

--- a/router/direct/forward.go
+++ b/router/direct/forward.go
@@ -130,7 +130,8 @@
 			return err
 		}
 	}
-	if !upstream.CloseDelimited(resp) {
+	// An answer without events does not show that its upstream has begun to write.
+	if !upstream.CloseDelimited(resp) && s.order.Progressed() {
 		s.recordSound()
 	}
 	return s.complete(resp)
--- a/router/direct/quarantine_stream_test.go
+++ b/router/direct/quarantine_stream_test.go
@@ -93,3 +93,27 @@
 		Consistently(func() int { return crashes(r) }, 300*time.Millisecond).Should(BeZero())
 	})
 })
+
+var _ = Describe("a generation that ends without an event", func() {
+	// Guards against prompts that crash engines and count as sound, because an engine has ended another answer as it crashed.
+	It("does not prove its prompt sound", func() {
+		r := newTestRouter(0)
+		r.dialect = partsDialect{}
+		r.register("pool", newRawUpstream(onFirst(signedHead("Content-Length: 0\r\n"), streamed(0))))
+		parts := quarantine.Parts("", partNames)
+		suspects := func() int {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return r.quarantine.Suspects(parts, r.clock.Now())
+		}
+		r.mu.Lock()
+		r.quarantine.RecordCrash(quarantine.Crash{Parts: parts, Upstream: "i-1", At: r.clock.Now()})
+		r.mu.Unlock()
+		got := r.send(http.MethodPost, "/digest/1")
+		Expect(got.whole).To(BeTrue())
+		Expect(got.body).To(BeEmpty())
+		Expect(suspects()).To(Equal(1))
+		Expect(r.send(http.MethodPost, "/digest/1").body).To(Equal(wholeStream))
+		Expect(suspects()).To(BeZero())
+	})
+})
