Upstreams that a batch of prompts has crashed together count one by one

What tells the two apart is who crashes and what follows: upstreams that crashed together now count one by one if the part was never sound, no run has proved it sound for 2 s while others were, and at most half as many upstreams were lost without it. The breaker then opens for 10 s, and a trial decides; routers admit trials in turns, so that a batch is not several trials.

--- a/core/quarantine/breaker.go
+++ b/core/quarantine/breaker.go
@@ -22,8 +22,8 @@
 	// contrastRuns is the number of runs without a part that must be sound while those with it crash before a part that was
 	// sound before is convicted. Without them, engines may crash whatever they run.
 	contrastRuns = 8
-	// trialInterval is the interval at which one router after the other begins to admit trials of a half-open breaker, so that
-	// the outcome of the first one reaches the others before they follow.
+	// trialInterval is the time for which one router after the other admits trials of a half-open breaker, so that the outcome of a
+	// trial reaches the others before their turn.
 	trialInterval = 3 * time.Second
 	// peerLifetime is how long a router that has sent no report is counted in this order.
 	peerLifetime = 10 * time.Second
@@ -112,6 +112,10 @@
 		return nil
 	}
 	opened := &breaker{part: s.part, epoch: 1, openedAt: s.lastAt, openFor: q.leastOpenTime(s.part, now)}
+	if s.incidents < s.threshold() {
+		// A single moment may deceive, so that a trial soon checks it.
+		opened.openFor = shortOpenTime
+	}
 	if b != nil {
 		opened.epoch = b.epoch + 1
 	}
@@ -167,16 +171,20 @@
 	return openTime
 }
 
-// rank returns the number of routers that admit trials of a part before this one.
-func (q *Quarantine) rank(b *breaker, now time.Time) int {
+// rank returns the number of routers whose turn to admit a trial of a part is before this one's, and the number of all routers.
+func (q *Quarantine) rank(b *breaker, now time.Time) (rank, routers int) {
 	own := trialOrder(b, q.router)
-	n := 0
+	routers = 1
 	for router, seen := range q.peers {
-		if now.Sub(seen) < peerLifetime && trialOrder(b, router) < own {
-			n++
+		if now.Sub(seen) >= peerLifetime {
+			continue
+		}
+		routers++
+		if trialOrder(b, router) < own {
+			rank++
 		}
 	}
-	return n
+	return rank, routers
 }
 
 // trialOrder returns a router's place in the order in which routers admit trials of a part.
--- a/core/quarantine/check.go
+++ b/core/quarantine/check.go
@@ -116,7 +116,17 @@
 	if now.Before(b.until()) {
 		return b.until()
 	}
-	return b.until().Add(time.Duration(q.rank(b, now)) * trialInterval)
+	// A router that has just started does not know yet which others there are.
+	if known := q.startedAt.Add(trialInterval); now.Before(known) {
+		return known
+	}
+	rank, routers := q.rank(b, now)
+	turn := int(now.Sub(b.until()) / trialInterval)
+	ahead := ((rank-turn)%routers + routers) % routers
+	if ahead == 0 {
+		return now
+	}
+	return b.until().Add(time.Duration(turn+ahead) * trialInterval)
 }
 
 // EndTrial ends the trials that a request holds, once it has ended.
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -28,6 +28,8 @@
 type evidence struct {
 	// crashes are in the order of their times.
 	crashes []Crash
+	// losses holds when upstreams were lost under runs that had proved their prompts sound, as this router has seen it.
+	losses map[incarnation]time.Time
 	// sound and olderSound are two generations of the parts that have been sound, so that the oldest are dropped.
 	sound, olderSound map[Part]soundRun
 	// models holds when a part of each model was last sound.
@@ -156,7 +158,7 @@
 		}
 	}
 	for _, s := range out {
-		s.sum()
+		s.sum(e, now)
 	}
 	return out
 }
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -51,6 +52,11 @@
 	routers, engines, domains    int
 	soundPerSecond, badPerSecond float64
 	badFrom, length              time.Duration
+	// badBatch bad requests come at once every badEvery, and soundBatch sound ones with a part of their own every soundEvery, if set.
+	badBatch, soundBatch int
+	badEvery, soundEvery time.Duration
+	// attempts is the number of engines to which a request may be sent, maxAttempts if zero.
+	attempts int
 	// domainCrashUntil is zero if domains crash until the end.
 	domainCrashFrom, domainCrashUntil, domainCrashEvery time.Duration
 	reportLoss                                          float64
@@ -155,12 +161,32 @@
 			if n < 1 && f.rng.Float64() >= n {
 				continue
 			}
-			f.requests++
-			caller, parts := f.prompt(f.rng, bad)
-			f.place(&run{
-				prompt: prompt{request: ids.Request(fmt.Sprint(f.requests)), caller: caller, parts: parts, bad: bad},
-				router: f.rng.IntN(f.routers),
-			})
+			f.send(bad)
+		}
+	}
+	f.sendBatches()
+}
+
+// send sends a request with the given further parts.
+func (f *fleet) send(bad bool, more ...quarantine.Part) {
+	f.requests++
+	caller, parts := f.prompt(f.rng, bad)
+	f.place(&run{
+		prompt: prompt{request: ids.Request(fmt.Sprint(f.requests)), caller: caller, parts: append(parts, more...), bad: bad},
+		router: f.rng.IntN(f.routers),
+	})
+}
+
+// sendBatches sends the batches that are due.
+func (f *fleet) sendBatches() {
+	if f.badEvery > 0 && f.now >= f.badFrom && (f.now-f.badFrom)%f.badEvery == 0 {
+		for range f.badBatch {
+			f.send(true)
+		}
+	}
+	if f.soundEvery > 0 && f.now%f.soundEvery == 0 {
+		for range f.soundBatch {
+			f.send(false, quarantine.Part(1<<20+f.now))
 		}
 	}
 }
@@ -184,7 +210,7 @@
 // place makes the next attempt at a prompt.
 func (f *fleet) place(r *run) {
 	up := slices.DeleteFunc(slices.Clone(f.fleet), func(e *engine) bool { return e.downTo > f.now })
-	if len(up) == 0 || r.attempts == maxAttempts {
+	if len(up) == 0 || r.attempts == cmp.Or(f.attempts, maxAttempts) {
 		return
 	}
 	allowed := f.policy.allow(r.router, r.prompt, f.clock())
--- a/core/quarantine/merge.go
+++ b/core/quarantine/merge.go
@@ -48,6 +48,7 @@
 }
 
 func (q *Quarantine) merge(r Report, from source, now time.Time) []Change {
+	q.start(now)
 	q.forget(now)
 	affected := false
 	for _, s := range r.Sound[:min(len(r.Sound), maxReportSound)] {
--- a/core/quarantine/policies_test.go
+++ b/core/quarantine/policies_test.go
@@ -14,13 +14,24 @@
 	// stored is the snapshot in the store, storedAt when it was written.
 	stored   quarantine.Report
 	storedAt time.Time
+	// settledAt is when the routers last looked at what has settled.
+	settledAt time.Time
 }
 
+// settleInterval is the time between two looks.
+const settleInterval = 200 * time.Millisecond
+
 // savePause is the least time between two writes.
 const savePause = time.Second
 
 // save lets the first router that knows of something that the store lacks write it.
 func (p *partPolicy) save(now time.Time) {
+	if now.Sub(p.settledAt) >= settleInterval {
+		p.settledAt = now
+		for i, q := range p.routers {
+			p.changes = append(p.changes, q.Settle(clockOf(i, now))...)
+		}
+	}
 	if now.Sub(p.storedAt) < savePause {
 		return
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -14,6 +14,8 @@
 //	if v := q.Check(request, parts, now); !v.Allowed { ... refuse ... }
 //	changes := q.RecordSound(parts, now)               // a run has delivered [SoundEvents] events, or all it had
 //	changes := q.RecordCrash(quarantine.Crash{...})    // an engine ended before that
+//	q.RecordLoss(upstream, started, now)               // an engine ended after that
+//	changes := q.Settle(now)                           // several times a second
 //	q.EndTrial(request)                                // the request has ended
 //	report := q.Report(now)                            // for each of the other routers
 //	changes := q.Merge(peer, report, now)
@@ -89,6 +91,8 @@
 	router   ids.VM
 	evidence evidence
 	breakers map[Part]*breaker
+	// startedAt is the time of the first call that tells the time.
+	startedAt time.Time
 	// peers holds when each of the other routers last sent a report.
 	peers map[ids.VM]time.Time
 }
@@ -98,11 +102,18 @@
 	return &Quarantine{router: router, breakers: map[Part]*breaker{}, peers: map[ids.VM]time.Time{}}
 }
 
+func (q *Quarantine) start(now time.Time) {
+	if q.startedAt.IsZero() {
+		q.startedAt = now
+	}
+}
+
 // RecordCrash records a crash that this router has seen, and returns the decisions that follow from it.
 func (q *Quarantine) RecordCrash(c Crash) []Change {
 	c.Router = q.router
 	c.Parts = slices.Clone(c.Parts[:min(len(c.Parts), maxParts)])
 	now := c.At
+	q.start(now)
 	if !q.evidence.addCrash(c, now) {
 		return nil
 	}
--- a/core/quarantine/snapshot.go
+++ b/core/quarantine/snapshot.go
@@ -54,9 +54,7 @@
 // unexplained returns the recent crashes without those of parts whose breakers stand, in an order that does not depend on the
 // router: which of many crashes are part of a snapshot must not differ between routers that know the same ones.
 func (q *Quarantine) unexplained() []Crash {
-	out := slices.DeleteFunc(slices.Clone(q.evidence.crashes), func(c Crash) bool {
-		return slices.ContainsFunc(c.Parts, func(p Part) bool { return q.breakers[p] != nil && q.breakers[p].active() })
-	})
+	out := slices.DeleteFunc(slices.Clone(q.evidence.crashes), q.explained)
 	slices.SortFunc(out, func(a, b Crash) int {
 		return cmp.Or(cmp.Compare(a.Started, b.Started), cmp.Compare(a.Upstream, b.Upstream), slices.Compare(a.Parts, b.Parts), cmp.Compare(a.Router, b.Router))
 	})
--- a/core/quarantine/suspicion.go
+++ b/core/quarantine/suspicion.go
@@ -25,8 +25,8 @@
 	crashes, earlier map[incarnation]time.Time
 	routers          []ids.VM
 	firstAt, lastAt  time.Time
-	// count is the number of incidents since the last sound run, total that of all.
-	count, total int
+	// incidents is the number of incidents since the last sound run. Count is their weight, total that of all.
+	incidents, count, total int
 	// alternatives are the parts that explain the crashes as well.
 	alternatives []Part
 }
@@ -61,9 +61,10 @@
 	}
 }
 
-// sum counts the incidents.
-func (s *suspicion) sum() {
-	s.count = incidents(s.crashes, nil, s.incidentTime())
+// sum weighs the incidents.
+func (s *suspicion) sum(e *evidence, now time.Time) {
+	s.incidents = incidents(s.crashes, nil, s.incidentTime())
+	s.count = max(s.incidents, s.batchWeight(e, now))
 	s.total = s.count
 	if s.everSound() {
 		all := maps.Clone(s.crashes)
@@ -97,6 +98,17 @@
 
 // incidents returns the number of incidents among the crashes, without those in except.
 func incidents(crashes, except map[incarnation]time.Time, window time.Duration) int {
+	return len(group(crashes, except, window))
+}
+
+// incident is a number of upstreams that have crashed together.
+type incident struct {
+	firstAt   time.Time
+	upstreams int
+}
+
+// group returns the incidents among the crashes, without those in except, in the order of their times.
+func group(crashes, except map[incarnation]time.Time, window time.Duration) []incident {
 	times := make([]time.Time, 0, len(crashes))
 	for key, at := range crashes {
 		if _, explained := except[key]; !explained {
@@ -104,15 +116,15 @@
 		}
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	n := 0
-	var first time.Time
+	var out []incident
 	for _, at := range times {
-		if n == 0 || at.Sub(first) > window {
-			n++
-			first = at
+		if n := len(out); n > 0 && at.Sub(out[n-1].firstAt) <= window {
+			out[n-1].upstreams++
+			continue
 		}
+		out = append(out, incident{at, 1})
 	}
-	return n
+	return out
 }
 
 // blame returns the parts that must be considered the cause of crashes, each with the others that explain its crashes as
--- a/router/direct/app.go
+++ b/router/direct/app.go
@@ -181,6 +181,7 @@
 		a.follower.Run, a.broadcaster.Run, a.broadcaster.RunBulk, a.maintainEntry, a.handler.prober.run, a.schedDelay.run,
 		func(ctx context.Context) { group.Every(ctx, a.opts.Clock, confirmTick, a.handler.confirmUpstreams) },
 		func(ctx context.Context) { group.Every(ctx, a.opts.Clock, expireInterval, a.expire) },
+		func(ctx context.Context) { group.Every(ctx, a.opts.Clock, quarantineTick, a.state.settleQuarantine) },
 	} {
 		a.group.Keep(a.opts.Clock, run)
 	}
--- a/router/direct/quarantine.go
+++ b/router/direct/quarantine.go
@@ -90,6 +90,7 @@
 		return
 	}
 	if reason := notEvidence(r, err); reason != "" {
+		s.recordLoss(r)
 		s.logLossNotCounted(r, err, reason)
 		return
 	}
@@ -108,6 +109,25 @@
 	}
 }
 
+// recordLoss records that the upstream of a run that had proved its prompt sound was lost.
+func (s *stream) recordLoss(r *run) {
+	if r.stall.events < quarantine.SoundEvents {
+		return
+	}
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	s.quarantine.RecordLoss(r.upstream.ID, r.upstream.Started, s.clock.Now())
+}
+
+// settleQuarantine takes the decisions that follow from the time that has passed since crashes.
+func (st *state) settleQuarantine() {
+	changes := locked(&st.mu, func() []quarantine.Change { return st.quarantine.Settle(st.clock.Now()) })
+	st.applyQuarantine(changes)
+	if len(changes) > 0 {
+		st.saveQuarantineSoon()
+	}
+}
+
 // recordIfReplaced records a crash if the address of an upstream that broke a run off, and answers probes, answers with another ID: the
 // upstream has crashed and another process is there already.
 func (s *stream) recordIfReplaced(ctx context.Context, r *run, err error) {
--- a/router/direct/quarantine_keeper.go
+++ b/router/direct/quarantine_keeper.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// quarantineTick is the interval at which the keeper compares what is known with what the store has.
+	// quarantineTick is the interval at which the keeper compares what is known with what the store has, and at which crashes that have
+	// settled are judged.
 	quarantineTick = 200 * time.Millisecond
 	// quarantineStagger is the time by which each router waits longer than the one before it, so that one of them writes.
 	quarantineStagger = 300 * time.Millisecond
