A part of a long prompt that crashes engines is learned wherever it stands

Cause: only the first 32 parts of a prompt were considered, at crashes and at checks. Now 1,024 are checked and proved sound. A crash, which is reported to the other routers, is evidence against at most 32 of them: those that were sound longest ago, so that the parts that sound prompts share come last.

--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -72,6 +72,16 @@
 	return known < 0
 }
 
+// suspects returns the parts of a crash that it is evidence against: all, or those that were sound longest ago if there are too many.
+func (e *evidence) suspects(parts []Part) []Part {
+	out := slices.Clone(parts)
+	if len(out) <= maxCrashParts {
+		return out
+	}
+	slices.SortStableFunc(out, func(a, b Part) int { return e.soundAt(a).Compare(e.soundAt(b)) })
+	return out[:maxCrashParts:maxCrashParts]
+}
+
 func compareCrashes(a, b Crash) int { return a.At.Compare(b.At) }
 
 func (e *evidence) expire(now time.Time) {
--- a/core/quarantine/merge.go
+++ b/core/quarantine/merge.go
@@ -42,7 +42,7 @@
 // crash returns a reported crash.
 func (s source) crash(r CrashReport, now time.Time) Crash {
 	return Crash{
-		Parts: slices.Clone(r.Parts[:min(len(r.Parts), maxParts)]), Upstream: r.Upstream, Started: r.Started,
+		Parts: slices.Clone(r.Parts[:min(len(r.Parts), maxCrashParts)]), Upstream: r.Upstream, Started: r.Started,
 		Router: cmp.Or(r.Router, s.router), At: now.Add(-max(0, r.Age)), stored: s.stored,
 	}
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -24,7 +24,6 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,8 +41,9 @@
 	soundCrashThreshold = 4
 	// coincidences is the number of crashes of other causes that may look like evidence against a part.
 	coincidences = 1
-	// maxParts bounds the parts of one prompt that are considered.
-	maxParts = 32
+	// maxParts bounds the parts of one prompt that are considered, maxCrashParts those of them that one crash is evidence against.
+	maxParts      = 1024
+	maxCrashParts = 32
 )
 
 // Part identifies a part of a prompt of a model: the upper bits are a hash of the model, the others one of both.
@@ -111,7 +111,7 @@
 // RecordCrash records a crash that this router has seen, and returns the decisions that follow from it.
 func (q *Quarantine) RecordCrash(c Crash) []Change {
 	c.Router = q.router
-	c.Parts = slices.Clone(c.Parts[:min(len(c.Parts), maxParts)])
+	c.Parts = q.evidence.suspects(c.Parts)
 	now := c.At
 	q.start(now)
 	if !q.evidence.addCrash(c, now) {
