A part that crashes engines under several models is learned once

Cause: a part was identified together with its model. Its name is now recognisable under all models: crashes under two models or more also count against the part as such, whose breaker refuses it under all of them. A sound run under one model clears the part as such, but not under the models where it crashes engines. What routers report and store has the same form.

--- a/core/quarantine/batch.go
+++ b/core/quarantine/batch.go
@@ -92,5 +92,10 @@
 
 // explained reports whether a part of a crash has a breaker that stands.
 func (q *Quarantine) explained(c Crash) bool {
-	return slices.ContainsFunc(c.Parts, func(p Part) bool { return q.breakers[p] != nil && q.breakers[p].active() })
+	for b := range q.breakersOf(c.Parts) {
+		if b.active() {
+			return true
+		}
+	}
+	return false
 }
--- a/core/quarantine/check.go
+++ b/core/quarantine/check.go
@@ -75,9 +75,8 @@
 		return v, nil
 	}
 	var trials []*breaker
-	for _, p := range parts {
-		b := q.breakers[p]
-		if b == nil || !b.active() {
+	for b := range q.breakersOf(parts) {
+		if !b.active() {
 			continue
 		}
 		v = q.describe(b, parts, now)
@@ -104,7 +103,7 @@
 func (q *Quarantine) discriminates(b *breaker, parts []Part) bool {
 	return slices.ContainsFunc(b.alternatives, func(p Part) bool {
 		other := q.breakers[p]
-		return other != nil && other.active() && !slices.Contains(parts, p)
+		return other != nil && other.active() && !Includes(parts, p)
 	})
 }
 
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -133,7 +133,8 @@
 func (e *evidence) soundRunsWithout(p Part, since time.Time) int {
 	n := 0
 	for _, r := range e.runs {
-		if r.at.After(since) && r.parts[0].model() == p.model() && !slices.Contains(r.parts, p) {
+		sameModel := p == p.anyModel() || r.parts[0].model() == p.model()
+		if r.at.After(since) && sameModel && !Includes(r.parts, p) {
 			n++
 		}
 	}
@@ -161,13 +162,21 @@
 	out := map[Part]*suspicion{}
 	for _, c := range e.crashes {
 		for _, p := range c.Parts {
-			if out[p] == nil {
-				out[p] = newSuspicion(p, e.soundAt(p))
+			for _, key := range p.keys() {
+				if out[key] == nil {
+					out[key] = newSuspicion(key, e.soundAt(key))
+				}
+				out[key].add(c)
+				out[key].models[p.model()] = true
 			}
-			out[p].add(c)
 		}
 	}
-	for _, s := range out {
+	for p, s := range out {
+		if p == p.anyModel() && len(s.models) == 1 && !s.models[p.model()] {
+			// The part under its only model says as much.
+			delete(out, p)
+			continue
+		}
 		s.sum(e, now)
 	}
 	return out
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -24,6 +24,8 @@
 package quarantine
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,7 +48,8 @@
 	maxCrashParts = 32
 )
 
-// Part identifies a part of a prompt of a model: the upper bits are a hash of the model, the others one of both.
+// Part identifies a part of a prompt: the upper bits are a hash of the model, the others one of the part's name. Without the model's bits it
+// stands for the part under all models.
 type Part uint64
 
 // modelShift is the number of bits of a Part that do not identify the model.
@@ -56,6 +59,22 @@
 
 func (p Part) model() modelHash { return modelHash(p >> modelShift) }
 
+// anyModel returns the part under all models.
+func (p Part) anyModel() Part { return p & (1<<modelShift - 1) }
+
+// keys returns a part, and the part under all models.
+func (p Part) keys() []Part {
+	if p == p.anyModel() {
+		return []Part{p}
+	}
+	return []Part{p, p.anyModel()}
+}
+
+// Includes reports whether a prompt has a part, which may stand for all models.
+func Includes(prompt []Part, p Part) bool {
+	return slices.ContainsFunc(prompt, func(own Part) bool { return own == p || own.anyModel() == p })
+}
+
 // Parts returns the parts of a prompt that may be to blame for a crash, given the names of all its parts in order. The last
 // one belongs to the request or its session.
 func Parts(model string, names []string) []Part {
@@ -66,7 +85,7 @@
 	out := make([]Part, 0, len(names))
 	hash := Part(xxhash.Sum64String(model)) << modelShift
 	for _, name := range names {
-		out = append(out, hash|Part(xxhash.Sum64String(model+"\x00"+name)>>(64-modelShift)))
+		out = append(out, hash|Part(xxhash.Sum64String(name)>>(64-modelShift)))
 	}
 	return out
 }
@@ -117,8 +136,8 @@
 	if !q.evidence.addCrash(c, now) {
 		return nil
 	}
-	for _, p := range c.Parts {
-		if b := q.breakers[p]; b != nil && b.trial != "" && b.trial == c.Request {
+	for b := range q.breakersOf(c.Parts) {
+		if b.trial != "" && b.trial == c.Request {
 			b.trial, b.trialUntil = "", now.Add(trialBackoff)
 		}
 	}
@@ -141,8 +160,25 @@
 
 // addSound records a sound run of a part and reports whether this may change the state of breakers.
 func (q *Quarantine) addSound(p Part, at time.Time, own bool) bool {
-	b := q.breakers[p]
-	return q.evidence.addSound(p, at, own) && b != nil && b.standing()
+	affected := false
+	for _, key := range p.keys() {
+		b := q.breakers[key]
+		affected = q.evidence.addSound(key, at, own) && b != nil && b.standing() || affected
+	}
+	return affected
+}
+
+// breakersOf returns the breakers of the parts of a prompt.
+func (q *Quarantine) breakersOf(parts []Part) iter.Seq[*breaker] {
+	return func(yield func(*breaker) bool) {
+		for _, p := range parts {
+			for _, key := range p.keys() {
+				if b := q.breakers[key]; b != nil && !yield(b) {
+					return
+				}
+			}
+		}
+	}
 }
 
 // assess opens the breakers of the parts that the evidence convicts, and suspends those that it does not convict.
@@ -174,9 +210,8 @@
 // renew opens the half-open breakers of the parts of a new crash again.
 func (q *Quarantine) renew(c Crash, now time.Time) []Change {
 	var halfOpen []*breaker
-	for _, p := range c.Parts {
-		b := q.breakers[p]
-		if b == nil || !b.active() || q.evidence.soundAt(p).After(c.At) {
+	for b := range q.breakersOf(c.Parts) {
+		if !b.active() || q.evidence.soundAt(b.part).After(c.At) {
 			continue
 		}
 		if !c.At.After(b.until()) {
--- a/core/quarantine/suspicion.go
+++ b/core/quarantine/suspicion.go
@@ -24,7 +24,9 @@
 	// crashes are the incarnations that have crashed under the part since its last sound run, earlier those before it.
 	crashes, earlier map[incarnation]time.Time
 	routers          []ids.VM
-	firstAt, lastAt  time.Time
+	// models are those under which upstreams have crashed.
+	models          map[modelHash]bool
+	firstAt, lastAt time.Time
 	// incidents is the number of incidents since the last sound run. Count is their weight, total that of all.
 	incidents, count, total int
 	// alternatives are the parts that explain the crashes as well.
@@ -32,7 +34,7 @@
 }
 
 func newSuspicion(p Part, soundAt time.Time) *suspicion {
-	return &suspicion{part: p, soundAt: soundAt, crashes: map[incarnation]time.Time{}}
+	return &suspicion{part: p, soundAt: soundAt, crashes: map[incarnation]time.Time{}, models: map[modelHash]bool{}}
 }
 
 // add adds a crash that is not earlier than those added before.
--- a/router/direct/quarantine.go
+++ b/router/direct/quarantine.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"slices"
 	"syscall"
 	"time"
 
@@ -208,7 +207,7 @@
 	var out []*stream
 	for _, streams := range st.running {
 		for s := range streams {
-			if slices.Contains(s.parts, p) {
+			if quarantine.Includes(s.parts, p) {
 				out = append(out, s)
 			}
 		}
