A planned stop refuses the requests that wait for a pause of their upstreams

Cause: a stop decided on requests as they arrived. Nothing decided again on those that waited for the end of an upstream's pause or for a part of a limit. As the stop begins, such a request is now refused if the stop will not leave the time for it; one that can still be answered goes on waiting.

--- a/router/direct/call_pick.go
+++ b/router/direct/call_pick.go
@@ -16,10 +16,17 @@
 func (x *exchange) pickCall(tried map[ids.VM]bool) (fleet.Upstream, *fault.Error) {
 	for {
 		u, delay, charge, refusal := x.chargeCall(tried)
-		if refusal != nil || x.awaitLimit(u, delay, charge) {
+		if refusal != nil {
 			return u, refusal
 		}
+		err := x.awaitLimit(u, delay, charge)
+		if err == nil {
+			return u, nil
+		}
 		x.endCall(u.ID)
+		if fault.CodeOf(err) == fault.RouterStopping {
+			return u, fault.As(err)
+		}
 		if x.ctx.Err() != nil {
 			return u, fault.As(x.deadlineError())
 		}
--- a/router/direct/limit_wait.go
+++ b/router/direct/limit_wait.go
@@ -41,23 +41,45 @@
 	return delay < time.Duration(limitWaitShare*float64(x.remaining()))
 }
 
-// awaitLimit waits for the delay of a request that was charged to the limit of an upstream. It takes the charge back and returns false if
-// the upstream may not receive the request any more.
-func (x *exchange) awaitLimit(u fleet.Upstream, delay time.Duration, charge ratelimit.Charge) bool {
+// awaitLimit waits for the delay of a request that was charged to the limit of an upstream. It takes the charge back and returns an error if
+// the upstream may not receive the request any more, or if a graceful shutdown leaves no time for it.
+func (x *exchange) awaitLimit(u fleet.Upstream, delay time.Duration, charge ratelimit.Charge) error {
 	if delay <= 0 {
-		return true
+		return nil
 	}
 	x.metrics.Counter("requests_held_by_limit", "service", string(x.service.Name)).Inc(1)
-	select {
-	case <-x.ctx.Done():
-	case <-x.clock.After(delay):
-	}
+	refusal := x.awaitDelay(delay)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now, known := x.fleet.Get(u.ID)
-	if x.ctx.Err() == nil && known && now.Started == u.Started && now.Available() {
-		return true
+	if refusal == nil && x.ctx.Err() == nil && known && now.Started == u.Started && now.Available() {
+		return nil
 	}
 	charge.Cancel(x.clock.Now())
-	return false
+	if refusal != nil {
+		return refusal
+	}
+	return errNotSent
+}
+
+// awaitDelay waits until a delay is over or the request has ended. It returns the refusal of a request that a graceful shutdown leaves no
+// time for after the delay.
+func (x *exchange) awaitDelay(delay time.Duration) error {
+	end := x.clock.Now().Add(delay)
+	over := x.clock.After(delay)
+	select {
+	case <-x.ctx.Done():
+		return nil
+	case <-over:
+		return nil
+	case <-x.shutdown.started():
+	}
+	if refusal := x.admitWaiting(end.Sub(x.clock.Now())); refusal != nil {
+		return refusal
+	}
+	select {
+	case <-x.ctx.Done():
+	case <-over:
+	}
+	return nil
 }
--- a/router/direct/resume.go
+++ b/router/direct/resume.go
@@ -24,6 +24,8 @@
 	switch {
 	case s.headerSent:
 		return s.awaitResume(err)
+	case fault.CodeOf(err) == fault.RouterStopping:
+		return err
 	case errors.As(err, &limited) && s.remaining() >= minAnswerTime:
 		return limited.fault()
 	case errors.Is(err, errNoUpstream) && s.remaining() >= minAnswerTime:
--- a/router/direct/run.go
+++ b/router/direct/run.go
@@ -67,9 +67,9 @@
 		return err
 	}
 	defer s.release(r)
-	if !s.awaitLimit(r.upstream, r.delay, r.charge) {
+	if err := s.awaitLimit(r.upstream, r.delay, r.charge); err != nil {
 		s.refusals++
-		return errNotSent
+		return err
 	}
 	conn, err := s.connect(s.ctx, r.upstream)
 	if err != nil {
--- a/router/direct/shutdown_test.go
+++ b/router/direct/shutdown_test.go
@@ -133,4 +133,33 @@
 		a.closeCallers(r.server.Config, r.server.Listener)
 		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
 	})
+	// Guards against requests that wait for their upstreams' pause until the stop closes their connections without an answer.
+	DescribeTable("refuses a request that waits for a pause of its upstream beyond the stop, and answers one that does not",
+		func(path string, pause time.Duration, status int) {
+			r, _, _ := stoppingRouter(3 * time.Second)
+			pool := newRawUpstream(streamed(0))
+			r.register("pool", pool)
+			r.mu.Lock()
+			for _, u := range append(r.fleet.All("pool"), r.fleet.All("desk")...) {
+				r.rateLimits.Hold(u.ID, r.clock.Now().Add(pause), r.clock.Now())
+			}
+			r.mu.Unlock()
+			done := make(chan reply, 1)
+			go func() { done <- r.send(http.MethodPost, path) }()
+			time.Sleep(100 * time.Millisecond)
+			r.shutdown.begin()
+			var got reply
+			Eventually(done, 3*time.Second).Should(Receive(&got))
+			Expect(got.status).To(Equal(status))
+			Expect(got.whole).To(BeTrue())
+			if status == http.StatusServiceUnavailable {
+				Expect(got.took).To(BeNumerically("<", time.Second))
+				Expect(pool.requests(got.id)).To(BeZero())
+			}
+		},
+		Entry("a stream, a long pause", "/digest/a", 8*time.Second, http.StatusServiceUnavailable),
+		Entry("a call, a long pause", "/slip/a", 3500*time.Millisecond, http.StatusServiceUnavailable),
+		Entry("a stream, a short pause", "/digest/a", 700*time.Millisecond, http.StatusOK),
+		Entry("a call, a short pause", "/slip/a", 700*time.Millisecond, http.StatusOK),
+	)
 })
--- a/router/direct/shutdown_tracker.go
+++ b/router/direct/shutdown_tracker.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,9 @@
 type shutdownTracker struct {
 	clock   clockwork.Clock
 	beganAt atomic.Pointer[time.Time]
+	// begun is closed when the graceful shutdown begins.
+	makeBegun, closeBegun sync.Once
+	begun                 chan struct{}
 	// closing is set once no further requests are accepted.
 	closing atomic.Bool
 	// cutting is set once the requests that are left are ended because the time for the shutdown is over.
@@ -29,6 +33,14 @@
 func (s *shutdownTracker) begin() {
 	now := s.clock.Now()
 	s.beganAt.Store(&now)
+	s.started()
+	s.closeBegun.Do(func() { close(s.begun) })
+}
+
+// started returns a channel that is closed when the graceful shutdown begins.
+func (s *shutdownTracker) started() <-chan struct{} {
+	s.makeBegun.Do(func() { s.begun = make(chan struct{}) })
+	return s.begun
 }
 
 // close makes the router refuse all further requests.
