--- a/core/quarantine/batch.go
+++ b/core/quarantine/batch.go
@@ -15,6 +15,8 @@
 	settleTime = 2 * time.Second
 	// settledContrastRuns is the number of runs without the part that must be sound since then: otherwise nothing runs at all.
 	settledContrastRuns = 2
+	// maxSettleTime is how long these runs may be waited for.
+	maxSettleTime = 15 * time.Second
 )
 
 // batchWeight returns the weight of the incidents if each of the upstreams that have crashed together counts, or zero if it does not
@@ -82,7 +84,7 @@
 func (q *Quarantine) Settle(now time.Time) []Change {
 	settled := slices.ContainsFunc(q.evidence.crashes, func(c Crash) bool {
 		age := now.Sub(c.At)
-		return age >= settleTime && age < crashReportTime && !q.explained(c)
+		return age >= settleTime && age < maxSettleTime && !q.explained(c)
 	})
 	if !settled {
 		return nil
--- a/core/quarantine/check.go
+++ b/core/quarantine/check.go
@@ -19,7 +19,8 @@
 	// Age is the time since the breaker opened, Remaining the time until this router admits a trial.
 	Age       time.Duration
 	Remaining time.Duration
-	// Crashes is the number of incidents that the breaker was opened on, Routers the ones that reported them.
+	// Crashes is the number of incidents that the breaker was opened on, in which upstreams that crashed together may count one by one.
+	// Routers are the ones that reported them.
 	Crashes int
 	Routers []ids.VM
 	// Alternatives is the number of other parts that explain the crashes as well.
@@ -120,6 +121,7 @@
 		return known
 	}
 	rank, routers := q.rank(b, now)
+	// The routers take turns of trialInterval, beginning with rank zero.
 	turn := int(now.Sub(b.until()) / trialInterval)
 	ahead := ((rank-turn)%routers + routers) % routers
 	if ahead == 0 {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -121,6 +121,7 @@
 	return &Quarantine{router: router, breakers: map[Part]*breaker{}, peers: map[ids.VM]time.Time{}}
 }
 
+// start records the time of the first call.
 func (q *Quarantine) start(now time.Time) {
 	if q.startedAt.IsZero() {
 		q.startedAt = now
