--- a/review/standin-3/router_test.go
+++ b/review/standin-3/router_test.go
@@ -157,8 +157,8 @@
 	return out
 }
 
-// configure writes the configuration: streams (/read/ cannot be resumed, /digest/ can), a call that must not be repeated (/slip/) and one
-// that may be (/look/).
+// configure writes the configuration: streams (/read/ cannot be resumed, /digest/ can), calls that must not be repeated (/slip/, and
+// /entry/ with more time) and one that may be (/look/).
 func (s *site) configure() {
 	body, err := json.Marshal(map[string]any{
 		"version": 3,
@@ -166,6 +166,7 @@
 			route("digest", "/digest/", "streaming", "pool", 5, 25*time.Second, map[string]any{"resumable": true, "gap-aim-ms": 700, "sticky": true}),
 			route("read", "/read/", "streaming", "pool", 1, 25*time.Second, map[string]any{"gap-aim-ms": 700, "sticky": true}),
 			route("slip", "/slip/", "non_idempotent", "desk", 1, 4*time.Second, nil),
+			route("entry", "/entry/", "non_idempotent", "desk", 1, 20*time.Second, nil),
 			route("look", "/look/", "idempotent", "desk", 2, 4*time.Second, nil),
 		},
 		"services": []any{
