--- a/review/standin-3/cases_test.go
+++ b/review/standin-3/cases_test.go
@@ -10,25 +10,41 @@
 	"time"
 )
 
-// unframedStream kills the only runner of a stream, which has no length, between two events.
+// unframedStream kills the runner of a stream, which has no length and cannot go on elsewhere, between two events.
 func unframedStream(s *site) bool {
-	const deadline = 25 * time.Second
+	return s.killHalfway("/read/7", 25*time.Second, s.addRunnerProcesses("pool"), streamOf)
+}
+
+// unframedCall kills the runner of a call, the answer to which has no length, halfway through it.
+func unframedCall(s *site) bool {
+	return s.killHalfway("/slip/7", 4*time.Second, s.addRunnerProcesses("desk"), callOf)
+}
+
+// addRunnerProcesses writes the configuration and adds a runner process of a service in each zone.
+func (s *site) addRunnerProcesses(service string) (out []*runner) {
 	s.configure()
-	u := s.addRunnerProcess("pool")
+	for range zones {
+		out = append(out, s.addRunnerProcess(service))
+	}
+	return out
+}
+
+// killHalfway sends a request, kills its runner halfway through the answer, and reports whether a part of it passes as the whole answer.
+func (s *site) killHalfway(path string, deadline time.Duration, list []*runner, whole func(id string) string) bool {
 	s.startRouters(2)
 	id := newID()
 	done := make(chan reply, 1)
-	go func() { done <- send(s.routers[0], "/read/7", id, deadline, prompt(id, pieces)) }()
-	time.Sleep(pieces / 2 * piecePause)
+	go func() { done <- send(s.routers[0], path, id, deadline, prompt(id, pieces)) }()
+	u := await(id, list)
+	time.Sleep(pieces/2*piecePause - piecePause/2)
 	if s.trouble {
 		u.stop()
-		s.note("runner %s killed", u.id)
+		s.note("runner %s killed, one of %d", u.id, len(list))
 	}
 	got := <-done
-	s.note("sent %s, a stream of %d events", id, pieces)
-	s.note("answered %s", got)
-	s.note("the client has %d of %d events", strings.Count(got.body, "id: "), pieces)
-	return got.status == http.StatusOK && got.complete && got.body != streamOf(id, pieces)
+	s.note("sent %s to %s, answered %s", id, path, got)
+	s.note("the client has %d of %d bytes", len(got.body), len(whole(id)))
+	return got.status == http.StatusOK && got.complete && got.body != whole(id)
 }
 
 // unframedResume kills the runner of a stream, which has no length and could go on elsewhere, between two events, while the only other
@@ -61,7 +77,8 @@
 	id := newID()
 	done := make(chan reply, 1)
 	go func() { done <- send(s.routers[0], "/digest/7", id, deadline, prompt(id, pieces)) }()
-	time.Sleep(pieces / 2 * piecePause)
+	await(id, []*runner{u})
+	time.Sleep(pieces/2*piecePause - piecePause/2)
 	if s.trouble {
 		u.stop()
 		s.note("runner %s killed", u.id)
@@ -70,40 +87,7 @@
 	s.note("sent %s, a stream of %d events", id, pieces)
 	s.note("answered %s", got)
 	s.note("the client has %d of %d events after %.1f s of its %s", strings.Count(got.body, "id: "), pieces, time.Since(got.sent).Seconds(), deadline)
-	return got.status == http.StatusOK && got.complete && got.body != streamOf(id, pieces)
-}
-
-// unframedCall kills the runner of a call, the answer to which has no length, halfway through it.
-func unframedCall(s *site) bool {
-	const deadline = 4 * time.Second
-	s.configure()
-	var all []*runner
-	for range 3 {
-		all = append(all, s.addRunnerProcess("desk"))
-	}
-	s.startRouters(2)
-	broken := false
-	for i, path := range []string{"/slip/7", "/look/7"} {
-		id := newID()
-		done := make(chan reply, 1)
-		go func() { done <- send(s.routers[i], path, id, deadline, nil) }()
-		time.Sleep(pieces / 2 * piecePause)
-		if s.trouble && i == 0 {
-			for _, u := range all {
-				u.stop()
-			}
-			s.note("runners killed")
-		}
-		got := <-done
-		s.note("sent %s to %s", id, path)
-		s.note("answered %s", got)
-		s.note("the client has %d of %d bytes", len(got.body), len(callOf(id)))
-		broken = broken || got.status == http.StatusOK && got.complete && got.body != callOf(id)
-		if s.trouble {
-			break
-		}
-	}
-	return broken
+	return got.status == http.StatusOK && got.complete && got.body != streamOf(id)
 }
 
 // pauseWaiting has requests wait for a runner that names a limit, and then turns one of them away with a pause.
--- a/review/standin-3/main_test.go
+++ b/review/standin-3/main_test.go
@@ -35,6 +35,7 @@
 	"pause-waiting":    pauseWaiting,
 	"limit-lowered":    limitLowered,
 	"budget-herd-kill": budgetHerdKill,
+	"crowd":            crowd,
 }
 
 func TestMain(*testing.M) {
@@ -63,7 +64,7 @@
 		return exitFailed
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
-	s := &site{recorder: rec, dir: dir, trouble: trouble, store: newStore()}
+	s := &site{recorder: rec, dir: dir, trouble: trouble, store: newStore(), memory: 284}
 	defer func() {
 		if p := recover(); p != nil {
 			s.note("the case could not run: %v", p)
@@ -113,6 +114,8 @@
 	dir     string
 	trouble bool
 	store   *store
+	// memory is the memory of a router in MB.
+	memory int
 
 	mu      sync.Mutex
 	routers []*router
--- a/review/standin-3/router_test.go
+++ b/review/standin-3/router_test.go
@@ -80,11 +80,11 @@
   ratio: 0.8
   window_seconds: 10
   slack: 150
-memory_megabytes: 284
+memory_megabytes: %d
 max_descriptors: 4100
 link_megabits: 1000
 cpu_share: 0.304
-`, name, zones[i%len(zones)], host, a.front, a.ready, a.control, strings.Join(seeds, ", "), metrics, s.store.addr)
+`, name, zones[i%len(zones)], host, a.front, a.ready, a.control, strings.Join(seeds, ", "), metrics, s.store.addr, s.memory)
 		must(os.WriteFile(r.settings, []byte(text), 0o600))
 		log, err := os.Create(filepath.Join(s.dir, name+".log"))
 		must(err)
--- a/review/standin-3/runner_test.go
+++ b/review/standin-3/runner_test.go
@@ -29,8 +29,9 @@
 	serve                   func(u *runner, w io.Writer, r *http.Request) (answer string, keep bool)
 	store                   *store
 	listener                net.Listener
-	// process is set for a runner that is a process of its own.
+	// process is set for a runner that is a process of its own, which names on serving what it begins to answer.
 	process *exec.Cmd
+	serving chan string
 
 	mu       sync.Mutex
 	seq      int
@@ -54,12 +55,19 @@
 func (s *site) addRunnerProcess(service string) *runner {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	u := &runner{addr: l.Addr().String()}
+	u := &runner{addr: l.Addr().String(), serving: make(chan string, 100)}
 	_ = l.Close()
 	u.id = fmt.Sprintf("i-%04d", len(s.runners)+1)
 	u.process = exec.Command(os.Args[0], "runner", u.addr, u.id)
 	u.process.Stderr = os.Stderr
+	out, err := u.process.StdoutPipe()
+	must(err)
 	must(u.process.Start())
+	go func() {
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			u.serving <- lines.Text()
+		}
+	}()
 	for begin := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		conn, err := net.Dial("tcp", u.addr)
 		if err == nil {
@@ -213,10 +221,10 @@
 // event returns an event of a stream.
 func event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", n, id, n) }
 
-// streamOf returns the whole stream of a request.
-func streamOf(id string, events int) string {
+// streamOf returns the whole stream of a request at a runner process.
+func streamOf(id string) string {
 	var b strings.Builder
-	for n := 1; n <= events; n++ {
+	for n := 1; n <= pieces; n++ {
 		b.WriteString(event(id, n))
 	}
 	return b.String()
@@ -241,6 +249,22 @@
 	return fmt.Sprintf("200, %d events", events-last), err == nil
 }
 
+// await returns the runner process that begins to answer a request.
+func await(id string, list []*runner) *runner {
+	for begin := time.Now(); time.Since(begin) < 5*time.Second; time.Sleep(time.Millisecond) {
+		for _, u := range list {
+			select {
+			case got := <-u.serving:
+				if got == id {
+					return u
+				}
+			default:
+			}
+		}
+	}
+	panic("no runner begins to answer " + id)
+}
+
 // The answers of a runner process, which come without a length and without chunks.
 const (
 	pieces     = 20
@@ -275,6 +299,7 @@
 	if isStream {
 		more += "Content-Type: text/event-stream\r\n"
 	}
+	fmt.Println(id)
 	_, _ = io.WriteString(w, head(u, r, "200 OK", more)+"\r\n")
 	last := 0
 	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
