--- a/review/standin-3/cases_test.go
+++ b/review/standin-3/cases_test.go
@@ -36,6 +36,7 @@
 	done := make(chan reply, 1)
 	go func() { done <- send(s.routers[0], path, id, deadline, prompt(id, pieces)) }()
 	u := await(id, list)
+	s.note("runner %s begins to answer %s", u.id, id)
 	time.Sleep(pieces/2*piecePause - piecePause/2)
 	if s.trouble {
 		u.stop()
@@ -78,6 +79,7 @@
 	done := make(chan reply, 1)
 	go func() { done <- send(s.routers[0], "/digest/7", id, deadline, prompt(id, pieces)) }()
 	await(id, []*runner{u})
+	s.note("runner %s begins to answer %s", u.id, id)
 	time.Sleep(pieces/2*piecePause - piecePause/2)
 	if s.trouble {
 		u.stop()
@@ -206,6 +208,63 @@
 	return float64(most) > allowed
 }
 
+// limitQuiet has many users come at once, some quiet seconds after the only answer of a runner that names a limit which never changes.
+func limitQuiet(s *site) bool {
+	const (
+		limit    = 2.0
+		quiet    = 12 * time.Second
+		deadline = 25 * time.Second
+		requests = 60
+		calm     = 12
+		work     = 300 * time.Millisecond
+		window   = 4 * time.Second
+	)
+	s.configure()
+	u := s.addRunner("pool", func(u *runner, w io.Writer, r *http.Request) (string, bool) {
+		time.Sleep(work)
+		answer, keep := stream(u, w, r, 4, 10*time.Millisecond, "Server-Limit: 2\r\n")
+		return answer + ", Server-Limit: 2", keep
+	})
+	s.startRouters(1)
+	first := newID()
+	s.note("answered %s", send(s.routers[0], "/digest/7", first, deadline, prompt(first, 4)))
+	time.Sleep(quiet)
+	var wg sync.WaitGroup
+	request := func() {
+		wg.Go(func() {
+			id := newID()
+			s.note("sent %s", id)
+			s.note("answered %s", send(s.routers[0], "/digest/7", id, deadline, prompt(id, 4)))
+		})
+	}
+	if s.trouble {
+		for range requests {
+			request()
+		}
+	} else {
+		for range calm {
+			request()
+			time.Sleep(time.Second / limit)
+		}
+	}
+	wg.Wait()
+	all := u.all()
+	most := 0
+	for i, a := range all[1:] {
+		s.note("runner %s got %s at %.3f: %s", u.id, a.id, a.at.Sub(s.begin).Seconds(), a.answer)
+		n := 0
+		for _, b := range all[1+i:] {
+			if b.at.Sub(a.at) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	allowed := 1.5*limit*window.Seconds() + 5
+	s.note("at most %d requests in some 4 s, %s after the limit was named, at a limit of %v a second; %v are allowed", most, quiet, limit, allowed)
+	return float64(most) > allowed
+}
+
 // budgetHerdKill has all runners of a service turn requests away, and kills all routers at once.
 func budgetHerdKill(s *site) bool {
 	const (
--- a/review/standin-3/main_test.go
+++ b/review/standin-3/main_test.go
@@ -34,6 +34,7 @@
 	"stop-queued":      stopQueued,
 	"pause-waiting":    pauseWaiting,
 	"limit-lowered":    limitLowered,
+	"limit-quiet":      limitQuiet,
 	"budget-herd-kill": budgetHerdKill,
 	"crowd":            crowd,
 }
